--- /dev/null
+++ b/src/bookkeeping/mirror.rs
@@ -0,0 +1,265 @@
+//! A picture of the state service, fed by reads, the controller's own writes and the change feed.
+//!
+//! The picture may lag. Whoever decides by it makes the write conditional on the version seen.
+
+use super::records::{
+    Alloc, JobRecord, JobState, LEADER_KEY, PartRecord, QuotaRecord, alloc_key, job_key, part_key,
+    quota_key,
+};
+use crate::ids::{JobId, PartId, Team, Version};
+use crate::protocol::cloud::MachineType;
+use serde::Deserialize;
+use serde_json::Value;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::rc::Rc;
+
+pub const TYPES_KEY: &str = "types";
+
+/// Final states are small; beyond this many the state service is asked again.
+const FINALS_KEPT: usize = 20_000;
+
+#[derive(Clone, Debug)]
+pub struct Versioned<T> {
+    pub version: Version,
+    pub value: Rc<T>,
+}
+
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Changed {
+    Job(JobId),
+    Alloc(PartId, JobId),
+    Part(PartId),
+    Quota(Team),
+    Leader,
+    Types,
+}
+
+#[derive(Default)]
+pub struct Mirror {
+    pub jobs: BTreeMap<JobId, Versioned<JobRecord>>,
+    pub allocs: BTreeMap<(PartId, JobId), Versioned<Alloc>>,
+    pub parts: BTreeMap<PartId, Versioned<PartRecord>>,
+    pub quotas: BTreeMap<Team, Versioned<QuotaRecord>>,
+    pub leader: Option<Versioned<PartRecord>>,
+    pub types: Option<Versioned<Vec<MachineType>>>,
+    finals: HashMap<JobId, (JobState, u32)>,
+    finals_order: VecDeque<JobId>,
+    /// Versions at which keys were last seen to change; guards against older news.
+    versions: HashMap<String, Version>,
+    /// Everything up to here has been seen.
+    pub revision: Version,
+    /// Whether a full reading has been completed.
+    pub loaded: bool,
+}
+
+fn read<T: for<'a> Deserialize<'a>>(key: &str, value: &Value) -> Option<T> {
+    match T::deserialize(value) {
+        Ok(parsed) => Some(parsed),
+        Err(error) => {
+            tracing::error!(key, %error, "record in the state service cannot be read");
+            None
+        }
+    }
+}
+
+impl Mirror {
+    pub fn final_of(&self, job: &JobId) -> Option<(JobState, u32)> {
+        self.finals.get(job).copied()
+    }
+
+    pub fn remember_final(&mut self, job: &JobId, state: JobState, tasks: u32) {
+        if state == JobState::Open {
+            return;
+        }
+        if self.finals.insert(job.clone(), (state, tasks)).is_none() {
+            self.finals_order.push_back(job.clone());
+            if self.finals_order.len() > FINALS_KEPT
+                && let Some(old) = self.finals_order.pop_front()
+            {
+                self.finals.remove(&old);
+            }
+        }
+    }
+
+    /// The version at which `key` is known to stand; 0 if it is not there.
+    pub fn version_of(&self, key: &str) -> Version {
+        if let Some(rest) = key.strip_prefix("job/") {
+            return self
+                .jobs
+                .get(&JobId::new(rest))
+                .map(|v| v.version)
+                .unwrap_or_default();
+        }
+        if let Some((part, job)) = split_alloc(key) {
+            return self
+                .allocs
+                .get(&(part, job))
+                .map(|v| v.version)
+                .unwrap_or_default();
+        }
+        Version(0)
+    }
+
+    /// Takes in one key's state (`None`: deleted) as of `version`; older news change nothing.
+    pub fn apply(&mut self, key: &str, value: Option<&Value>, version: Version) -> Option<Changed> {
+        match self.versions.get(key) {
+            Some(seen) if *seen >= version => return None,
+            _ => {}
+        }
+        self.versions.insert(key.to_string(), version);
+        let changed = self.put(key, value, version);
+        // Final records are many; their keys need no guard, as they never change again.
+        if let Some(Changed::Job(job)) = &changed
+            && !self.jobs.contains_key(job)
+        {
+            self.versions.remove(key);
+        }
+        changed
+    }
+
+    fn put(&mut self, key: &str, value: Option<&Value>, version: Version) -> Option<Changed> {
+        fn set<K: Ord, T: for<'a> Deserialize<'a>>(
+            map: &mut BTreeMap<K, Versioned<T>>,
+            id: K,
+            key: &str,
+            value: Option<&Value>,
+            version: Version,
+        ) {
+            match value.and_then(|v| read::<T>(key, v)) {
+                Some(parsed) => {
+                    let value = Rc::new(parsed);
+                    map.insert(id, Versioned { version, value });
+                }
+                None => {
+                    map.remove(&id);
+                }
+            }
+        }
+        if let Some(rest) = key.strip_prefix("job/") {
+            let job = JobId::new(rest);
+            match value.and_then(|v| read::<JobRecord>(key, v)) {
+                Some(record) => {
+                    self.remember_final(&job, record.state, record.tasks);
+                    if record.is_final() && record.parts.is_empty() {
+                        self.jobs.remove(&job);
+                    } else {
+                        let value = Rc::new(record);
+                        self.jobs.insert(job.clone(), Versioned { version, value });
+                    }
+                }
+                None => {
+                    self.jobs.remove(&job);
+                }
+            }
+            return Some(Changed::Job(job));
+        }
+        if let Some((part, job)) = split_alloc(key) {
+            set(&mut self.allocs, (part, job.clone()), key, value, version);
+            return Some(Changed::Alloc(part, job));
+        }
+        if let Some(part) = key.strip_prefix("part/").and_then(|p| p.parse().ok()) {
+            set(&mut self.parts, PartId(part), key, value, version);
+            return Some(Changed::Part(PartId(part)));
+        }
+        if let Some(team) = key.strip_prefix("quota/") {
+            set(&mut self.quotas, Team::new(team), key, value, version);
+            return Some(Changed::Quota(Team::new(team)));
+        }
+        if key == LEADER_KEY {
+            self.leader = value.and_then(|v| read(key, v)).map(|p| Versioned {
+                version,
+                value: Rc::new(p),
+            });
+            return Some(Changed::Leader);
+        }
+        if key == TYPES_KEY {
+            self.types = value.and_then(|v| read(key, v)).map(|p| Versioned {
+                version,
+                value: Rc::new(p),
+            });
+            return Some(Changed::Types);
+        }
+        None
+    }
+
+    /// Ends a full reading made as of `revision` in which `present` were found: what is known
+    /// from before and was not found is gone.
+    pub fn finish_reload(
+        &mut self,
+        revision: Version,
+        present: &std::collections::HashSet<String>,
+    ) -> Vec<Changed> {
+        let mut known: Vec<(String, Version)> = Vec::new();
+        known.extend(self.jobs.iter().map(|(j, v)| (job_key(j), v.version)));
+        known.extend(
+            self.allocs
+                .iter()
+                .map(|((p, j), v)| (alloc_key(*p, j), v.version)),
+        );
+        known.extend(self.parts.iter().map(|(p, v)| (part_key(*p), v.version)));
+        known.extend(self.quotas.iter().map(|(t, v)| (quota_key(t), v.version)));
+        known.extend(
+            self.leader
+                .iter()
+                .map(|v| (LEADER_KEY.to_string(), v.version)),
+        );
+        let mut changed = Vec::new();
+        for (key, version) in known {
+            if !present.contains(&key) && version <= revision {
+                changed.extend(self.apply(&key, None, Version(version.0.max(revision.0))));
+                self.versions.remove(&key);
+                changed.extend(self.put(&key, None, revision));
+            }
+        }
+        self.loaded = true;
+        if self.revision < revision {
+            self.revision = revision;
+        }
+        changed
+    }
+
+    /// Forgets guards of deleted keys that the feed has passed.
+    pub fn tidy(&mut self) {
+        let revision = self.revision;
+        let (jobs, allocs) = (&self.jobs, &self.allocs);
+        self.versions.retain(|key, version| {
+            *version > revision
+                || match split_alloc(key) {
+                    Some(id) => allocs.contains_key(&id),
+                    None => match key.strip_prefix("job/") {
+                        Some(job) => jobs.contains_key(&JobId::new(job)),
+                        None => true,
+                    },
+                }
+        });
+    }
+
+    pub fn part_allocs(
+        &self,
+        part: PartId,
+    ) -> impl Iterator<Item = (&JobId, &Versioned<Alloc>)> + '_ {
+        self.allocs
+            .range((part, JobId::new(""))..)
+            .take_while(move |((p, _), _)| *p == part)
+            .map(|((_, job), v)| (job, v))
+    }
+
+    /// Tasks finished and possibly running, for display.
+    pub fn counts(&self, job: &JobId, parts: &[PartId], tasks: u32) -> (u32, u32) {
+        let mut open = 0;
+        let mut running = 0;
+        for part in parts {
+            if let Some(v) = self.allocs.get(&(*part, job.clone())) {
+                let started = v.value.started_count();
+                running += started;
+                open += started + v.value.waiting.len();
+            }
+        }
+        (tasks.saturating_sub(open), running)
+    }
+}
+
+fn split_alloc(key: &str) -> Option<(PartId, JobId)> {
+    let (part, job) = key.strip_prefix("alloc/")?.split_once('/')?;
+    Some((PartId(part.parse().ok()?), JobId::new(job)))
+}
--- /dev/null
+++ b/src/bookkeeping/records.rs
@@ -0,0 +1,302 @@
+//! What the state service keeps, and the steps by which an owner changes it.
+
+use super::spans::Spans;
+use crate::ids::{Attempt, JobId, LeaseId, MachineId, Member, PartId, TaskNo, Team, WallMs};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
+pub enum Priority {
+    Idle,
+    Normal,
+    High,
+    Prod,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum Kind {
+    Batch,
+    Standing,
+}
+
+/// What one task takes of its machine.
+#[derive(Clone, Copy, PartialEq, Debug, Default, Serialize, Deserialize)]
+pub struct Room {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub mem: f64,
+}
+
+/// Absorbs the rounding of repeated additions; far below any real request.
+const EPS: f64 = 1e-6;
+
+impl Room {
+    pub fn add(&mut self, other: Room) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.mem += other.mem;
+    }
+    pub fn sub(&mut self, other: Room) {
+        self.cpus -= other.cpus;
+        self.gpus -= other.gpus;
+        self.mem -= other.mem;
+    }
+    pub fn times(self, n: f64) -> Room {
+        Room {
+            cpus: self.cpus * n,
+            gpus: self.gpus * n,
+            mem: self.mem * n,
+        }
+    }
+    pub fn fits_in(self, free: Room) -> bool {
+        self.cpus <= free.cpus + EPS && self.gpus <= free.gpus + EPS && self.mem <= free.mem + EPS
+    }
+    /// How many tasks of this size go into `free`.
+    pub fn count_in(self, free: Room) -> u32 {
+        let mut count = f64::from(u32::MAX);
+        for (need, have) in [
+            (self.cpus, free.cpus),
+            (self.gpus, free.gpus),
+            (self.mem, free.mem),
+        ] {
+            if need > 0.0 {
+                count = count.min(((have + EPS) / need).floor());
+            }
+        }
+        count.max(0.0) as u32
+    }
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct JobSpec {
+    pub class: String,
+    pub team: Team,
+    pub kind: Kind,
+    pub priority: Priority,
+    pub tasks: u32,
+    pub room: Room,
+    pub image: String,
+    pub pull_gb: f64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub types: Option<Vec<String>>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
+    #[serde(default)]
+    pub together: bool,
+    #[serde(default)]
+    pub apart: bool,
+    pub spot: bool,
+    pub estimate_s: f64,
+    #[serde(default)]
+    pub checkpoint_s: f64,
+    #[serde(default)]
+    pub save_s: f64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub deadline_s: Option<f64>,
+}
+
+impl JobSpec {
+    /// Whether the job's tasks depend on one another's zones, so that one part must hold them all.
+    pub fn zones_bound(&self) -> bool {
+        self.together || self.apart
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum JobState {
+    Open,
+    Done,
+    Cancelled,
+}
+
+/// `job/<id>`. The spec is dropped once no part holds anything of the job.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct JobRecord {
+    pub state: JobState,
+    pub tasks: u32,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<PartId>,
+    pub submitted: WallMs,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub spec: Option<JobSpec>,
+}
+
+impl JobRecord {
+    pub fn is_final(&self) -> bool {
+        self.state != JobState::Open
+    }
+    /// The record after `part` has nothing of the job any more.
+    pub fn without_part(&self, part: PartId) -> JobRecord {
+        let mut next = self.clone();
+        next.parts.retain(|p| *p != part);
+        if next.parts.is_empty() {
+            if next.state == JobState::Open {
+                next.state = JobState::Done;
+            }
+            next.spec = None;
+        }
+        next
+    }
+}
+
+/// `part/<p>`.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct PartRecord {
+    pub owner: Member,
+    pub lease: LeaseId,
+}
+
+/// `quota/<team>`: what each part may use; the rest of the limit is free.
+#[derive(Clone, PartialEq, Debug, Default, Serialize, Deserialize)]
+pub struct QuotaRecord {
+    pub grants: BTreeMap<PartId, Grant>,
+}
+
+#[derive(Clone, Copy, PartialEq, Debug, Default, Serialize, Deserialize)]
+pub struct Grant {
+    pub cpus: f64,
+    pub gpus: f64,
+}
+
+impl Grant {
+    pub fn of(room: Room) -> Grant {
+        Grant {
+            cpus: room.cpus,
+            gpus: room.gpus,
+        }
+    }
+    pub fn covers(self, used: Grant) -> bool {
+        used.cpus <= self.cpus + EPS && used.gpus <= self.gpus + EPS
+    }
+}
+
+impl QuotaRecord {
+    pub fn granted(&self) -> Grant {
+        self.grants.values().fold(Grant::default(), |a, g| Grant {
+            cpus: a.cpus + g.cpus,
+            gpus: a.gpus + g.gpus,
+        })
+    }
+
+    /// Sets `part`'s grant as near to `wish` as the limit allows, never below `used`.
+    /// Fails only if the record itself is already over the limit.
+    pub fn regrant(&self, part: PartId, wish: Grant, used: Grant, limit: Grant) -> QuotaRecord {
+        let mut next = self.clone();
+        let mine = next.grants.remove(&part).unwrap_or_default();
+        let others = next.granted();
+        let free = Grant {
+            cpus: (limit.cpus - others.cpus).max(0.0),
+            gpus: (limit.gpus - others.gpus).max(0.0),
+        };
+        // `used` never exceeds what is granted now, so keeping it cannot pass the limit.
+        let grant = Grant {
+            cpus: wish
+                .cpus
+                .max(used.cpus)
+                .min(free.cpus.max(mine.cpus.min(used.cpus))),
+            gpus: wish
+                .gpus
+                .max(used.gpus)
+                .min(free.gpus.max(mine.gpus.min(used.gpus))),
+        };
+        next.grants.insert(part, grant);
+        next
+    }
+}
+
+/// `alloc/<p>/<job>`: a part's share of a job.
+#[derive(Clone, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
+pub struct Alloc {
+    /// Not started; the attempt is the next one to use.
+    #[serde(default, rename = "w", skip_serializing_if = "Spans::is_empty")]
+    pub waiting: Spans,
+    /// Possibly on a machine; the attempt is the one commanded.
+    #[serde(default, rename = "s", skip_serializing_if = "BTreeMap::is_empty")]
+    pub started: BTreeMap<MachineId, Spans>,
+    #[serde(default, rename = "f", skip_serializing_if = "Spans::is_empty")]
+    pub finished: Spans,
+}
+
+/// A change an owner makes to its share. Every step may be applied twice with the effect of once.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Step {
+    pub task: TaskNo,
+    pub attempt: Attempt,
+    pub machine: MachineId,
+    pub what: StepKind,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum StepKind {
+    Start,
+    Finish,
+    /// Proven not to be on the machine; waits again, with the next attempt.
+    Requeue,
+}
+
+impl Alloc {
+    pub fn started_on(&self, machine: &MachineId, task: TaskNo) -> Option<Attempt> {
+        self.started.get(machine)?.get(task)
+    }
+
+    pub fn is_complete(&self) -> bool {
+        self.waiting.is_empty() && self.started.is_empty()
+    }
+
+    pub fn started_count(&self) -> u32 {
+        self.started.values().map(Spans::len).sum()
+    }
+
+    /// Applies a step; false if the record no longer allows it and it must be forgotten.
+    pub fn apply(&mut self, step: &Step) -> bool {
+        let here = self.started_on(&step.machine, step.task) == Some(step.attempt);
+        match step.what {
+            StepKind::Start => {
+                if here {
+                    return true;
+                }
+                if self.waiting.get(step.task) != Some(step.attempt) {
+                    return false;
+                }
+                self.waiting.remove(step.task);
+                self.started
+                    .entry(step.machine.clone())
+                    .or_default()
+                    .insert(step.task, step.attempt);
+                true
+            }
+            StepKind::Finish | StepKind::Requeue => {
+                if !here {
+                    return false;
+                }
+                if let Some(spans) = self.started.get_mut(&step.machine) {
+                    spans.remove(step.task);
+                    if spans.is_empty() {
+                        self.started.remove(&step.machine);
+                    }
+                }
+                if step.what == StepKind::Finish {
+                    self.finished.insert(step.task, Attempt(0));
+                } else {
+                    self.waiting
+                        .insert(step.task, Attempt(step.attempt.0.saturating_add(1)));
+                }
+                true
+            }
+        }
+    }
+}
+
+pub fn job_key(job: &JobId) -> String {
+    format!("job/{job}")
+}
+pub fn alloc_key(part: PartId, job: &JobId) -> String {
+    format!("alloc/{part}/{job}")
+}
+pub fn part_key(part: PartId) -> String {
+    format!("part/{part}")
+}
+pub fn quota_key(team: &Team) -> String {
+    format!("quota/{team}")
+}
+pub const LEADER_KEY: &str = "leader";
--- /dev/null
+++ b/src/coordination/env.rs
@@ -0,0 +1,131 @@
+//! What an actor is lent while it handles a message.
+
+use crate::bookkeeping::mirror::Mirror;
+use crate::bookkeeping::store::{Bucket, Store};
+use crate::ids::{CallId, ConnId, JobId, MachineId, Member, Millis, PartId, Token};
+use crate::operator::OperatorSettings;
+use crate::outbox::{CallResult, Method, Outbox, Target};
+use crate::protocol::cloud::{MachineType, release_body};
+use crate::protocol::state::Txn;
+use crate::settings::Settings;
+use std::collections::{BTreeMap, HashMap};
+
+/// Whom an answer of the state service is for.
+#[derive(Clone, Debug)]
+pub enum Tag {
+    LeaseNew,
+    LeaseRenew(Millis),
+    /// Taking or giving up a part or the leadership; the key.
+    Claim(Claim),
+    ReloadPage,
+    Watch,
+    ShardTxn(PartId, Token),
+    ShardRead(PartId, Token, String),
+    QuotaTxn(PartId, Token),
+    QuotaRead(PartId, Token, String),
+    ClaimTxn(PartId, Token, JobId, Txn),
+    Accept(u64),
+    Read(ConnId, JobId, ReadFor),
+    Cancel(u64),
+    GiveUp(PartId),
+    PublishTypes(Vec<MachineType>),
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub enum Claim {
+    Part(PartId),
+    Leader,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ReadFor {
+    Poll,
+    Resubmit,
+    Cancel,
+}
+
+/// Whom an answer of the cloud is for.
+#[derive(Clone, Debug)]
+pub enum CloudTag {
+    Types,
+    List,
+    Rent(String),
+    /// Machines returned by the owner of a part.
+    PartRelease(PartId, Token, Vec<MachineId>),
+    FleetRelease(Vec<MachineId>),
+}
+
+/// The client of the cloud: this controller's share of the common request rate.
+pub struct CloudClient {
+    bucket: Bucket,
+    pending: HashMap<CallId, CloudTag>,
+}
+
+const CLOUD_CALL_MS: u64 = 4_000;
+
+impl CloudClient {
+    pub fn new(rps: f64) -> CloudClient {
+        CloudClient {
+            bucket: Bucket::with_burst(rps, 2.0 * rps),
+            pending: HashMap::new(),
+        }
+    }
+    pub fn may(&mut self, now: Millis) -> bool {
+        self.bucket.has(now, 1.0, 0.0)
+    }
+    pub fn call(
+        &mut self,
+        out: &mut Outbox,
+        tag: CloudTag,
+        method: Method,
+        path: String,
+        body: Vec<u8>,
+    ) {
+        self.bucket.take(1.0);
+        let id = out.call(Target::Cloud, method, path, body, CLOUD_CALL_MS);
+        self.pending.insert(id, tag);
+    }
+    pub fn release(&mut self, out: &mut Outbox, tag: CloudTag, machines: &[MachineId]) {
+        let body = release_body(machines);
+        self.call(out, tag, Method::Post, "/hosts/release".into(), body);
+    }
+    pub fn done(&mut self, id: CallId, result: &CallResult) -> Option<CloudTag> {
+        let tag = self.pending.remove(&id)?;
+        if let CallResult::Answer { status: 429, .. } = result {
+            tracing::info!("the cloud asks to slow down");
+            self.bucket.take(1.0);
+        }
+        Some(tag)
+    }
+}
+
+/// Settings worked out once.
+pub struct Config {
+    pub settings: Settings,
+    pub ops: OperatorSettings,
+    pub me: Member,
+    pub members: Vec<Member>,
+    pub parts: u32,
+}
+
+impl Config {
+    pub fn home(&self, part: PartId) -> &Member {
+        // There are as many parts as members.
+        &self.members[part.0 as usize % self.members.len()]
+    }
+}
+
+pub struct Env<'a> {
+    pub out: &'a mut Outbox,
+    pub store: &'a mut Store<Tag>,
+    pub cloud: &'a mut CloudClient,
+    pub mirror: &'a mut Mirror,
+    pub cfg: &'a Config,
+    pub types: &'a BTreeMap<String, MachineType>,
+}
+
+impl Env<'_> {
+    pub fn now(&self) -> Millis {
+        self.out.now
+    }
+}
--- /dev/null
+++ b/src/coordination/fleet.rs
@@ -0,0 +1,467 @@
+//! The leader's fleet: what is listed, what to rent, what to return.
+
+use super::env::{CloudClient, CloudTag, Env};
+use crate::bookkeeping::records::{JobState, Room};
+use crate::ids::{MachineId, Millis, Token, seconds_to_ms};
+use crate::outbox::{CallResult, Method};
+use crate::protocol::cloud::{
+    ListAnswer, Listed, ListedState, MachineType, RentAnswer, TypesAnswer, rent_body,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A kind of machine in a place: what one rental request asks for.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct Pool {
+    pub model: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+struct Rent {
+    pool: Pool,
+    number: u32,
+    body: Vec<u8>,
+    underway: bool,
+    retry_at: Millis,
+}
+
+struct Rented {
+    pool: Pool,
+    at: Millis,
+}
+
+pub struct Fleet {
+    pub token: Token,
+    cloud: CloudClient,
+    next_name: u64,
+    types_at: Option<Millis>,
+    list_at: Option<Millis>,
+    listing: Option<(String, Vec<Listed>)>,
+    listed: BTreeMap<MachineId, Listed>,
+    /// Answered by a rental, not listed yet.
+    rented: BTreeMap<MachineId, Rented>,
+    returned: BTreeMap<MachineId, Millis>,
+    rents: BTreeMap<String, Rent>,
+    refused: BTreeMap<Pool, Millis>,
+    plan_at: Millis,
+    heard: BTreeMap<String, Millis>,
+    since: Millis,
+    releasing: bool,
+    have_list: bool,
+}
+
+/// A group of equal tasks that want room.
+#[derive(Clone, Debug)]
+pub struct Want {
+    pub room: Room,
+    pub tasks: u32,
+    pub types: Option<Vec<String>>,
+    pub zone: Option<String>,
+    pub spot: bool,
+}
+
+/// Room that is there or on its way.
+#[derive(Clone, Debug)]
+pub struct Have {
+    pub pool: Pool,
+    pub free: Room,
+}
+
+fn allows(want: &Want, pool: &Pool) -> bool {
+    want.types.as_ref().is_none_or(|t| t.contains(&pool.model))
+        && want.zone.as_ref().is_none_or(|z| *z == pool.zone)
+        && (want.spot || !pool.spot)
+}
+
+/// What to rent so that the wants fit: pure.
+pub fn plan(
+    wants: &[Want],
+    mut have: Vec<Have>,
+    types: &BTreeMap<String, MachineType>,
+    refused: &BTreeSet<Pool>,
+) -> BTreeMap<Pool, u32> {
+    let mut pools: Vec<Pool> = Vec::new();
+    for t in types.values() {
+        for zone in &t.zones {
+            for spot in [true, false] {
+                if spot && t.spot_price.is_none() {
+                    continue;
+                }
+                let pool = Pool {
+                    model: t.label.clone(),
+                    zone: zone.clone(),
+                    spot,
+                };
+                if !refused.contains(&pool) {
+                    pools.push(pool);
+                }
+            }
+        }
+    }
+    let mut rent: BTreeMap<Pool, u32> = BTreeMap::new();
+    // Those that may use fewer machines choose first.
+    let mut order: Vec<&Want> = wants.iter().collect();
+    order.sort_by_key(|w| (w.spot, w.types.is_none(), w.zone.is_none()));
+    // Jobs that may use spot machines leave the ordinary ones to those that may not.
+    have.sort_by_key(|h| !h.pool.spot);
+    for want in order {
+        let mut left = want.tasks;
+        for h in have.iter_mut().filter(|h| allows(want, &h.pool)) {
+            let n = want.room.count_in(h.free).min(left);
+            h.free.sub(want.room.times(f64::from(n)));
+            left -= n;
+        }
+        while left > 0 {
+            let best = pools
+                .iter()
+                .filter(|p| allows(want, p))
+                .filter_map(|p| {
+                    let t = types.get(&p.model)?;
+                    let per = want.room.count_in(t.room());
+                    if per == 0 {
+                        return None;
+                    }
+                    // The last machine may stay partly empty: price what is used of it.
+                    let price = t.price(p.spot) / f64::from(per.min(left));
+                    Some((price, rent.get(p).copied().unwrap_or(0), p.clone(), t, per))
+                })
+                .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            let Some((_, _, pool, t, per)) = best else {
+                break;
+            };
+            let n = per.min(left);
+            let mut free = t.room();
+            free.sub(want.room.times(f64::from(n)));
+            have.push(Have {
+                pool: pool.clone(),
+                free,
+            });
+            left -= n;
+            *rent.entry(pool).or_default() += 1;
+        }
+    }
+    rent
+}
+
+impl Fleet {
+    pub fn new(token: Token, rps: f64, now: Millis) -> Fleet {
+        Fleet {
+            token,
+            cloud: CloudClient::new(rps),
+            next_name: 0,
+            types_at: None,
+            list_at: None,
+            listing: None,
+            listed: BTreeMap::new(),
+            rented: BTreeMap::new(),
+            returned: BTreeMap::new(),
+            rents: BTreeMap::new(),
+            refused: BTreeMap::new(),
+            plan_at: Millis(0),
+            heard: BTreeMap::new(),
+            since: now,
+            releasing: false,
+            have_list: false,
+        }
+    }
+
+    pub fn note_heard(&mut self, now: Millis, names: impl Iterator<Item = String>) {
+        for name in names {
+            self.heard.insert(name, now);
+        }
+    }
+
+    pub fn tick(&mut self, owned: bool, env: &mut Env) {
+        let now = env.now();
+        let types_due = self.types_at.is_none_or(|at| now.since(at) > 30_000)
+            || (env.types.is_empty() && self.types_at.is_none_or(|at| now.since(at) > 4_500));
+        if types_due && self.cloud.may(now) {
+            self.types_at = Some(now);
+            let path = "/machine_types".to_string();
+            self.cloud
+                .call(env.out, CloudTag::Types, Method::Get, path, Vec::new());
+        }
+        let lag = seconds_to_ms(env.cfg.settings.deployment.cloud.list_lag_s).max(2_000);
+        let list_due = self.list_at.is_none_or(|at| now.since(at) > lag)
+            || (self.listing.is_some() && self.list_at.is_some_and(|at| now.since(at) > 4_500));
+        if list_due && self.cloud.may(now) {
+            self.list_at = Some(now);
+            self.listing = Some((String::new(), Vec::new()));
+            self.list_page(env);
+        }
+        for (name, rent) in &mut self.rents {
+            if !rent.underway && rent.retry_at <= now && self.cloud.may(now) {
+                rent.underway = true;
+                let body = rent.body.clone();
+                self.cloud.call(
+                    env.out,
+                    CloudTag::Rent(name.clone()),
+                    Method::Post,
+                    "/hosts".into(),
+                    body,
+                );
+            }
+        }
+        if self.have_list && now.since(self.plan_at) >= 500 && !env.types.is_empty() {
+            self.plan_at = now;
+            self.rent(env);
+            self.give_back(owned, env);
+        }
+    }
+
+    fn list_page(&mut self, env: &mut Env) {
+        let after = self
+            .listing
+            .as_ref()
+            .map(|l| l.0.clone())
+            .unwrap_or_default();
+        let path = if after.is_empty() {
+            "/hosts?Limit=500".to_string()
+        } else {
+            format!("/hosts?After={after}&Limit=500")
+        };
+        self.cloud
+            .call(env.out, CloudTag::List, Method::Get, path, Vec::new());
+    }
+
+    /// Takes an answer of the cloud in; types that the others should know, if they changed.
+    pub fn cloud_done(
+        &mut self,
+        id: crate::ids::CallId,
+        result: &CallResult,
+        env: &mut Env,
+    ) -> Option<Option<Vec<MachineType>>> {
+        let tag = self.cloud.done(id, result)?;
+        let now = env.now();
+        let (status, body): (u16, &[u8]) = match result {
+            CallResult::Answer { status, body } => (*status, body),
+            CallResult::NotSent => (503, b""),
+            CallResult::Lost => (0, b""),
+        };
+        match tag {
+            CloudTag::Types if status == 200 => match serde_json::from_slice::<TypesAnswer>(body) {
+                Ok(answer) => return Some(Some(answer.types)),
+                Err(error) => tracing::error!(%error, "odd list of machine types"),
+            },
+            CloudTag::List if status == 200 => match serde_json::from_slice::<ListAnswer>(body) {
+                Ok(answer) => self.list_done(answer, env),
+                Err(error) => {
+                    tracing::error!(%error, "odd list of machines");
+                    self.listing = None;
+                }
+            },
+            CloudTag::List => self.listing = None,
+            CloudTag::Rent(name) => self.rent_done(&name, status, body, now),
+            CloudTag::FleetRelease(names) => {
+                self.releasing = false;
+                if status == 200 {
+                    for name in names {
+                        self.listed.remove(&name);
+                        self.rented.remove(&name);
+                        self.returned.insert(name, now);
+                    }
+                }
+            }
+            CloudTag::Types | CloudTag::PartRelease(..) => {}
+        }
+        Some(None)
+    }
+
+    fn list_done(&mut self, answer: ListAnswer, env: &mut Env) {
+        let Some((after, found)) = &mut self.listing else {
+            return;
+        };
+        if let Some(last) = answer.machines.last() {
+            *after = last.machine.as_str().to_string();
+        }
+        let more = answer.more && !answer.machines.is_empty();
+        found.extend(answer.machines);
+        if more {
+            self.list_page(env);
+            return;
+        }
+        let now = env.now();
+        let found = self.listing.take().map(|l| l.1).unwrap_or_default();
+        let lag = 2 * seconds_to_ms(env.cfg.settings.deployment.cloud.list_lag_s) + 3_000;
+        self.returned.retain(|_, at| now.since(*at) < 10 * lag);
+        self.listed = found
+            .into_iter()
+            .filter(|l| !self.returned.contains_key(&l.machine))
+            .map(|l| (l.machine.clone(), l))
+            .collect();
+        let listed = &self.listed;
+        self.rented
+            .retain(|name, r| !listed.contains_key(name) && now.since(r.at) < 2 * lag);
+        self.have_list = true;
+    }
+
+    fn rent_done(&mut self, name: &str, status: u16, body: &[u8], now: Millis) {
+        let Some(rent) = self.rents.get_mut(name) else {
+            return;
+        };
+        rent.underway = false;
+        match status {
+            200 => {
+                let answer = serde_json::from_slice::<RentAnswer>(body);
+                let pool = rent.pool.clone();
+                let number = rent.number;
+                match answer {
+                    Ok(answer) => {
+                        tracing::info!(request = name, model = %pool.model, zone = %pool.zone, spot = pool.spot,
+                            asked = number, got = answer.machines.len(), "rented");
+                        if (answer.machines.len() as u32) < number {
+                            self.refused.insert(pool.clone(), now.plus(8_000));
+                        }
+                        for machine in answer.machines {
+                            let pool = pool.clone();
+                            self.rented.insert(machine, Rented { pool, at: now });
+                        }
+                    }
+                    Err(error) => tracing::error!(%error, "odd answer to a rental"),
+                }
+                self.rents.remove(name);
+            }
+            503 if String::from_utf8_lossy(body).contains("no capacity") => {
+                self.refused.insert(rent.pool.clone(), now.plus(8_000));
+                self.rents.remove(name);
+            }
+            400 => {
+                tracing::error!(request = name, body = %String::from_utf8_lossy(body), "rental refused as malformed");
+                self.refused.insert(rent.pool.clone(), now.plus(60_000));
+                self.rents.remove(name);
+            }
+            // Repeated under the same name: carried out or not, it rents once.
+            _ => rent.retry_at = now.plus(1_500),
+        }
+    }
+
+    fn rent(&mut self, env: &mut Env) {
+        let now = env.now();
+        if self.rents.len() >= 8 {
+            return;
+        }
+        let mut wants = Vec::new();
+        let factor = env.cfg.ops.capacity_factor;
+        let mut teams: BTreeMap<&str, Room> = BTreeMap::new();
+        for limits in &env.cfg.settings.deployment.teams {
+            let limit = Room {
+                cpus: limits.cpus_max,
+                gpus: limits.gpus_max,
+                mem: f64::MAX / 4.0,
+            };
+            teams.insert(&limits.name, limit);
+        }
+        for (id, record) in &env.mirror.jobs {
+            let (Some(spec), JobState::Open) = (&record.value.spec, record.value.state) else {
+                continue;
+            };
+            let mut tasks = 0;
+            for part in &record.value.parts {
+                if let Some(a) = env.mirror.allocs.get(&(*part, id.clone())) {
+                    tasks += a.value.waiting.len() + a.value.started_count();
+                }
+            }
+            // A team cannot use more than its limit, so no more is rented for it.
+            if let Some(left) = teams.get_mut(spec.team.as_str()) {
+                tasks = tasks.min(spec.room.count_in(*left));
+                left.sub(spec.room.times(f64::from(tasks)));
+            }
+            if tasks > 0 {
+                wants.push(Want {
+                    room: spec.room,
+                    tasks: ((f64::from(tasks) * factor).ceil() as u32).max(1),
+                    types: spec.types.clone(),
+                    zone: spec.zone.clone(),
+                    spot: spec.spot,
+                });
+            }
+        }
+        let mut have = Vec::new();
+        let mut add = |pool: Pool| {
+            if let Some(t) = env.types.get(&pool.model) {
+                have.push(Have {
+                    pool,
+                    free: t.room(),
+                });
+            }
+        };
+        for l in self.listed.values() {
+            if l.state != ListedState::Failed {
+                add(Pool {
+                    model: l.model.clone(),
+                    zone: l.zone.clone(),
+                    spot: l.spot,
+                });
+            }
+        }
+        for r in self.rented.values() {
+            add(r.pool.clone());
+        }
+        for r in self.rents.values() {
+            for _ in 0..r.number {
+                add(r.pool.clone());
+            }
+        }
+        self.refused.retain(|_, until| *until > now);
+        let refused: BTreeSet<Pool> = self
+            .refused
+            .keys()
+            .cloned()
+            .chain(self.rents.values().map(|r| r.pool.clone()))
+            .collect();
+        for (pool, number) in plan(&wants, have, env.types, &refused) {
+            let number = number.min(50);
+            self.next_name += 1;
+            // The name holds the leadership's token, so no other leader ever uses it.
+            let name = format!("r-{}-{}", self.token, self.next_name);
+            let body = rent_body(&name, &pool.model, &pool.zone, pool.spot, number);
+            self.rents.insert(
+                name,
+                Rent {
+                    pool,
+                    number,
+                    body,
+                    underway: false,
+                    retry_at: now,
+                },
+            );
+            if self.rents.len() >= 8 {
+                break;
+            }
+        }
+    }
+
+    fn give_back(&mut self, owned: bool, env: &mut Env) {
+        let now = env.now();
+        if self.releasing {
+            return;
+        }
+        let lease_s = env.cfg.settings.deployment.workers.lease_s;
+        let mut back = Vec::new();
+        for l in self.listed.values() {
+            let ready_s = env.types.get(&l.model).map_or(60.0, |t| t.ready_s);
+            let heard = self.heard.get(l.machine.as_str()).copied();
+            let stale = match l.state {
+                ListedState::Failed => true,
+                ListedState::Booting => heard.is_none() && l.age_s > 3.0 * ready_s + 20.0,
+                // Up for long, and no owner has heard of it while all parts had owners.
+                ListedState::Running => {
+                    owned
+                        && now.since(self.since) > seconds_to_ms(3.0 * lease_s + 20.0)
+                        && l.age_s > 3.0 * ready_s + 3.0 * lease_s
+                        && heard.is_none_or(|at| now.since(at) > seconds_to_ms(3.0 * lease_s))
+                }
+            };
+            if stale {
+                tracing::info!(machine = %l.machine, state = ?l.state, age_s = l.age_s, "returned by the leader");
+                back.push(l.machine.clone());
+            }
+        }
+        back.truncate(100);
+        if !back.is_empty() && self.cloud.may(now) {
+            self.releasing = true;
+            self.cloud
+                .release(env.out, CloudTag::FleetRelease(back.clone()), &back);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/gateway.rs
@@ -0,0 +1,443 @@
+//! The users' requests. What a user is told is durable, and nothing is older than what any
+//! controller said: only final states are answered without asking the state service.
+
+use super::env::{Env, ReadFor, Tag};
+use crate::bookkeeping::records::{
+    Alloc, Grant, JobRecord, JobSpec, JobState, Kind, alloc_key, job_key,
+};
+use crate::bookkeeping::spans::Spans;
+use crate::bookkeeping::store::{Class, GetResult, TxnResult};
+use crate::ids::{ConnId, JobId, Millis, PartId, WallMs, part_of};
+use crate::outbox::Response;
+use crate::protocol::state::{Change, Txn};
+use crate::protocol::user;
+use serde::Deserialize;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// How long submissions gather to share a transaction.
+const GATHER_MS: u64 = 15;
+/// How often a cancellation that met another write is tried again before the user is asked to.
+const CANCEL_TRIES: u32 = 5;
+/// Transactions of submissions underway at once.
+const ACCEPTS_UNDERWAY: usize = 3;
+
+struct Accept {
+    conns: Vec<ConnId>,
+    job: JobId,
+    spec: JobSpec,
+    since: Millis,
+}
+
+struct Cancel {
+    conn: ConnId,
+    job: JobId,
+    next: JobRecord,
+    tries: u32,
+}
+
+#[derive(Default)]
+pub struct Gateway {
+    queue: VecDeque<Accept>,
+    batches: HashMap<u64, (Vec<Accept>, Vec<(String, serde_json::Value)>)>,
+    cancels: HashMap<u64, Cancel>,
+    cancel_tries: HashMap<ConnId, u32>,
+    next: u64,
+    /// Free room by part, as far as known.
+    pub free: BTreeMap<PartId, f64>,
+}
+
+/// Why a job can never run here, if so.
+pub fn never_runs(spec: &JobSpec, env: &Env) -> Option<&'static str> {
+    let Some(team) = env
+        .cfg
+        .settings
+        .deployment
+        .teams
+        .iter()
+        .find(|t| t.name == spec.team.as_str())
+    else {
+        return Some("unknown team");
+    };
+    let fits = env.types.values().any(|t| {
+        spec.types.as_ref().is_none_or(|l| l.contains(&t.label))
+            && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+            && spec.room.fits_in(t.room())
+    });
+    if !fits {
+        return Some("a task fits no allowed machine type");
+    }
+    let count = match spec.kind {
+        Kind::Batch => 1,
+        Kind::Standing => spec.tasks,
+    };
+    let limit = Grant {
+        cpus: team.cpus_max,
+        gpus: team.gpus_max,
+    };
+    if !limit.covers(Grant::of(spec.room.times(f64::from(count)))) {
+        return Some("the job needs more than the team's limit");
+    }
+    if spec.together && spec.apart && spec.tasks > 1 {
+        return Some("the job must be both together and apart");
+    }
+    None
+}
+
+/// Divides a job over parts by their free room.
+pub fn split(
+    job: &JobId,
+    spec: &JobSpec,
+    parts: u32,
+    free: &BTreeMap<PartId, f64>,
+) -> Vec<(PartId, Spans)> {
+    let room = |p: u32| free.get(&PartId(p)).copied().unwrap_or(0.0).max(0.0);
+    let first = part_of(job.as_str(), parts).0;
+    let ring = || (0..parts).map(move |i| (first + i) % parts);
+    let whole = |p: u32| vec![(PartId(p), Spans::range(0, spec.tasks, 1))];
+    if spec.kind == Kind::Standing || spec.zones_bound() || spec.tasks == 1 || parts == 1 {
+        let best = ring().max_by(|a, b| room(*a).total_cmp(&room(*b)));
+        return whole(best.unwrap_or(first));
+    }
+    let size = spec.room.cpus.max(0.01);
+    let total: f64 = ring().map(|p| (room(p) / size).floor()).sum();
+    let mut rest = spec.tasks;
+    let mut counts: BTreeMap<u32, u32> = BTreeMap::new();
+    // What is free now is used in proportion; the rest is shared evenly.
+    if total >= 1.0 {
+        let now = f64::from(spec.tasks).min(total);
+        for p in ring() {
+            let fit = (room(p) / size).floor();
+            let n = ((fit / total * now).floor() as u32).min(rest);
+            *counts.entry(p).or_default() += n;
+            rest -= n;
+        }
+    }
+    while rest > 0 {
+        for p in ring() {
+            if rest > 0 {
+                let chunk = rest.div_ceil(parts).min(rest);
+                *counts.entry(p).or_default() += chunk;
+                rest -= chunk;
+            }
+        }
+    }
+    let mut at = 0;
+    let mut shares = Vec::new();
+    for p in ring() {
+        let n = counts.get(&p).copied().unwrap_or(0);
+        if n > 0 {
+            shares.push((PartId(p), Spans::range(at, at + n, 1)));
+            at += n;
+        }
+    }
+    shares
+}
+
+impl Gateway {
+    pub fn submit(&mut self, conn: ConnId, body: &[u8], env: &mut Env) {
+        let (job, spec) = match user::parse_submission(body) {
+            Ok(parsed) => parsed,
+            Err(error) => {
+                let body = user::error(&error.to_string());
+                env.out.respond(conn, Response::new(400, body));
+                return;
+            }
+        };
+        if let Some((state, _)) = env.mirror.final_of(&job) {
+            let body = user::brief(&job, user::state_word(state, 0));
+            env.out.respond(conn, Response::new(200, body));
+            return;
+        }
+        if env.types.is_empty() || !env.mirror.loaded {
+            let later = Response::later(503, "not able to decide yet", 2);
+            env.out.respond(conn, later);
+            return;
+        }
+        // A job already accepted is answered by its state, whatever the limits are now.
+        if !env.mirror.jobs.contains_key(&job)
+            && let Some(why) = never_runs(&spec, env)
+        {
+            env.out.respond(conn, Response::new(422, user::error(why)));
+            return;
+        }
+        if let Some(same) = self.queue.iter_mut().find(|a| a.job == job) {
+            same.conns.push(conn);
+            return;
+        }
+        // More than can be written within about a second is refused at once.
+        let waiting = self.queue.len() * (1 + env.cfg.parts as usize);
+        let per_second = env.cfg.settings.deployment.state.write_rps / f64::from(env.cfg.parts);
+        if waiting as f64 > 0.7 * per_second {
+            let later = Response::later(503, "too many submissions", 2);
+            env.out.respond(conn, later);
+            return;
+        }
+        self.queue.push_back(Accept {
+            conns: vec![conn],
+            job,
+            spec,
+            since: env.now(),
+        });
+    }
+
+    /// Refuses everything that waits: the state service does not serve.
+    pub fn refuse_all(&mut self, env: &mut Env) {
+        for accept in self.queue.drain(..) {
+            for conn in accept.conns {
+                let later = Response::later(503, "the state service is away", 2);
+                env.out.respond(conn, later);
+            }
+        }
+    }
+
+    pub fn flush(&mut self, env: &mut Env) {
+        let now = env.now();
+        let Some(oldest) = self.queue.front().map(|a| a.since) else {
+            return;
+        };
+        if now.since(oldest) > 1_500 {
+            self.refuse_all(env);
+            return;
+        }
+        if now.since(oldest) < GATHER_MS || self.batches.len() >= ACCEPTS_UNDERWAY {
+            return;
+        }
+        let max_ops = env.cfg.settings.deployment.state.txn_ops;
+        let mut txn = Txn::default();
+        let mut batch = Vec::new();
+        let mut written = Vec::new();
+        let mut bytes = 0;
+        while let Some(accept) = self.queue.front() {
+            let mut shares = split(&accept.job, &accept.spec, env.cfg.parts, &self.free);
+            if shares.len() + 1 > max_ops {
+                let (part, _) = shares[0];
+                shares = vec![(part, Spans::range(0, accept.spec.tasks, 1))];
+            }
+            if txn.changes.len() + shares.len() + 1 > max_ops || bytes > 40 * 1024 {
+                break;
+            }
+            // Ids come from outside: a share per part, a key per job, all made at once.
+            let Some(accept) = self.queue.pop_front() else {
+                break;
+            };
+            let record = JobRecord {
+                state: JobState::Open,
+                tasks: accept.spec.tasks,
+                parts: shares.iter().map(|s| s.0).collect(),
+                submitted: WallMs(env.out.wall_ms),
+                spec: Some(accept.spec.clone()),
+            };
+            let mut put = |key: String, value: serde_json::Value| {
+                bytes += value.to_string().len() + key.len() + 40;
+                written.push((key.clone(), value.clone()));
+                txn.changes.push(Change::Write {
+                    key,
+                    value,
+                    lease: None,
+                });
+            };
+            put(
+                job_key(&accept.job),
+                serde_json::to_value(&record).unwrap_or_default(),
+            );
+            for (part, waiting) in shares {
+                let alloc = Alloc {
+                    waiting,
+                    ..Alloc::default()
+                };
+                put(
+                    alloc_key(part, &accept.job),
+                    serde_json::to_value(&alloc).unwrap_or_default(),
+                );
+            }
+            txn = txn.when(job_key(&accept.job), Default::default());
+            batch.push(accept);
+        }
+        if batch.is_empty() {
+            return;
+        }
+        if !env.store.may(now, Class::Accept, txn.changes.len()) {
+            for accept in batch.into_iter().rev() {
+                self.queue.push_front(accept);
+            }
+            return;
+        }
+        self.next += 1;
+        self.batches.insert(self.next, (batch, written));
+        env.store.txn(env.out, Tag::Accept(self.next), &txn);
+    }
+
+    pub fn accepted(&mut self, id: u64, result: TxnResult, env: &mut Env) {
+        let Some((batch, written)) = self.batches.remove(&id) else {
+            return;
+        };
+        match result {
+            TxnResult::Done(revision) => {
+                for (key, value) in &written {
+                    env.mirror.apply(key, Some(value), revision);
+                }
+                for accept in batch {
+                    tracing::info!(job = %accept.job, team = %accept.spec.team, class = %accept.spec.class,
+                        tasks = accept.spec.tasks, "accepted");
+                    let body = user::brief(&accept.job, "queued");
+                    for conn in accept.conns {
+                        env.out.respond(conn, Response::new(201, body.clone()));
+                    }
+                }
+            }
+            TxnResult::Conflict(keys) => {
+                for accept in batch {
+                    if keys.contains(&job_key(&accept.job)) {
+                        for conn in accept.conns {
+                            self.read(conn, &accept.job, ReadFor::Resubmit, env);
+                        }
+                    } else {
+                        self.queue.push_front(accept);
+                    }
+                }
+            }
+            TxnResult::NotDone | TxnResult::NoLease | TxnResult::Unknown => {
+                // If it was carried out after all, the repeated submission finds the job.
+                for conn in batch.into_iter().flat_map(|a| a.conns) {
+                    let later = Response::later(503, "the state service did not answer", 1);
+                    env.out.respond(conn, later);
+                }
+            }
+        }
+    }
+
+    pub fn read(&mut self, conn: ConnId, job: &JobId, why: ReadFor, env: &mut Env) {
+        if let Some((state, tasks)) = env.mirror.final_of(job) {
+            self.tell_final(conn, job, state, tasks, why, env);
+            return;
+        }
+        let class = match why {
+            ReadFor::Poll => Class::Reads,
+            ReadFor::Resubmit | ReadFor::Cancel => Class::Accept,
+        };
+        if !env.store.may(env.now(), class, 0) {
+            let later = Response::later(503, "too many requests", 1);
+            env.out.respond(conn, later);
+            return;
+        }
+        let tag = Tag::Read(conn, job.clone(), why);
+        env.store.get(env.out, tag, &job_key(job), 1_500);
+    }
+
+    fn tell_final(
+        &mut self,
+        conn: ConnId,
+        job: &JobId,
+        state: JobState,
+        tasks: u32,
+        why: ReadFor,
+        env: &mut Env,
+    ) {
+        let word = user::state_word(state, 0);
+        let body = match why {
+            ReadFor::Poll => {
+                let done = if state == JobState::Done { tasks } else { 0 };
+                user::full(job, word, done, 0)
+            }
+            ReadFor::Resubmit | ReadFor::Cancel => user::brief(job, word),
+        };
+        self.cancel_tries.remove(&conn);
+        env.out.respond(conn, Response::new(200, body));
+    }
+
+    pub fn read_done(
+        &mut self,
+        conn: ConnId,
+        job: &JobId,
+        why: ReadFor,
+        result: GetResult,
+        env: &mut Env,
+    ) {
+        let item = match result {
+            GetResult::Found(item) => item,
+            GetResult::Missing(_) => {
+                self.cancel_tries.remove(&conn);
+                let body = user::error("no such job");
+                env.out.respond(conn, Response::new(404, body));
+                return;
+            }
+            GetResult::Failed => {
+                self.cancel_tries.remove(&conn);
+                let later = Response::later(503, "the state service did not answer", 1);
+                env.out.respond(conn, later);
+                return;
+            }
+        };
+        let Ok(record) = JobRecord::deserialize(&item.value) else {
+            let later = Response::later(503, "the job's record cannot be read", 5);
+            env.out.respond(conn, later);
+            return;
+        };
+        env.mirror.apply(&item.key, Some(&item.value), item.version);
+        if record.is_final() {
+            self.tell_final(conn, job, record.state, record.tasks, why, env);
+            return;
+        }
+        match why {
+            ReadFor::Poll | ReadFor::Resubmit => {
+                let (done, running) = env.mirror.counts(job, &record.parts, record.tasks);
+                let word = user::state_word(record.state, running);
+                let body = match why {
+                    ReadFor::Poll => user::full(job, word, done, running),
+                    _ => user::brief(job, word),
+                };
+                env.out.respond(conn, Response::new(200, body));
+            }
+            ReadFor::Cancel => {
+                let mut next = record;
+                next.state = JobState::Cancelled;
+                if !env.store.may(env.now(), Class::Accept, 1) {
+                    let later = Response::later(503, "too many requests", 1);
+                    env.out.respond(conn, later);
+                    return;
+                }
+                self.next += 1;
+                let tries = self.cancel_tries.remove(&conn).unwrap_or(0);
+                let txn = Txn::default()
+                    .when(job_key(job), item.version)
+                    .then(Change::write(job_key(job), &next));
+                self.cancels.insert(
+                    self.next,
+                    Cancel {
+                        conn,
+                        job: job.clone(),
+                        next,
+                        tries,
+                    },
+                );
+                env.store.txn(env.out, Tag::Cancel(self.next), &txn);
+            }
+        }
+    }
+
+    /// The answer to a cancellation; the job, if its key has changed.
+    pub fn cancelled(&mut self, id: u64, result: TxnResult, env: &mut Env) -> Option<JobId> {
+        let cancel = self.cancels.remove(&id)?;
+        match result {
+            TxnResult::Done(revision) => {
+                tracing::info!(job = %cancel.job, "cancelled");
+                let value = serde_json::to_value(&cancel.next).unwrap_or_default();
+                env.mirror
+                    .apply(&job_key(&cancel.job), Some(&value), revision);
+                let body = user::brief(&cancel.job, "aborted");
+                env.out.respond(cancel.conn, Response::new(200, body));
+                Some(cancel.job)
+            }
+            TxnResult::Conflict(_) if cancel.tries < CANCEL_TRIES => {
+                self.cancel_tries.insert(cancel.conn, cancel.tries + 1);
+                self.read(cancel.conn, &cancel.job, ReadFor::Cancel, env);
+                None
+            }
+            _ => {
+                let later = Response::later(503, "could not be settled yet", 1);
+                env.out.respond(cancel.conn, later);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,11 @@
+//! Who decides what: ownership of parts, a part's scheduler, the users' gateway, the leader's fleet.
+
+pub mod controller;
+pub mod env;
+pub mod fleet;
+pub mod gateway;
+pub mod ownership;
+pub mod peers;
+pub mod placement;
+pub mod reader;
+pub mod shard;
--- /dev/null
+++ b/src/coordination/peers.rs
@@ -0,0 +1,74 @@
+//! What the other controllers say. Hints only: no rule depends on them.
+
+use super::env::Config;
+use crate::ids::{Member, Millis, PartId, Team};
+use crate::protocol::peer::Hint;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A hint older than this says nothing.
+const FRESH_MS: u64 = 2_500;
+/// A member that has been up for so long takes its home part back.
+const SETTLED_MS: u64 = 3_000;
+
+#[derive(Default)]
+pub struct Peers {
+    heard: BTreeMap<Member, (Millis, Hint)>,
+}
+
+impl Peers {
+    pub fn take(&mut self, now: Millis, hint: Hint, cfg: &Config) {
+        let member = Member::new(&hint.member);
+        if cfg.members.contains(&member) && member != cfg.me {
+            self.heard.insert(member, (now, hint));
+        }
+    }
+
+    pub fn fresh(&self, now: Millis) -> impl Iterator<Item = (&Member, &Hint)> + '_ {
+        self.heard
+            .iter()
+            .filter(move |(_, (at, _))| now.since(*at) <= FRESH_MS)
+            .map(|(m, (_, h))| (m, h))
+    }
+
+    /// How many controllers, this one included, say that the state service does not serve them.
+    pub fn unserved(&self, now: Millis, silent_ms: u64) -> usize {
+        1 + self
+            .fresh(now)
+            .filter(|(_, h)| h.state_silent_ms >= silent_ms)
+            .count()
+    }
+
+    /// Parts whose home member is up, settled and served.
+    pub fn up_homes(&self, now: Millis, cfg: &Config) -> BTreeSet<PartId> {
+        let up: BTreeSet<&Member> = self
+            .fresh(now)
+            .filter(|(_, h)| h.up_ms >= SETTLED_MS && h.state_silent_ms < 1_500)
+            .map(|(m, _)| m)
+            .collect();
+        (0..cfg.parts)
+            .map(PartId)
+            .filter(|p| up.contains(cfg.home(*p)))
+            .collect()
+    }
+
+    pub fn short_of(&self, now: Millis) -> BTreeSet<Team> {
+        self.fresh(now)
+            .flat_map(|(_, h)| h.short_of.iter().map(|t| Team::new(t)))
+            .collect()
+    }
+
+    /// Free room by part, as last said by the owners.
+    pub fn free_cpus(&self, now: Millis) -> BTreeMap<PartId, f64> {
+        self.fresh(now)
+            .flat_map(|(_, h)| h.parts.iter())
+            .map(|p| (PartId(p.part), p.free_cpus))
+            .collect()
+    }
+
+    pub fn heard_machines(&self, now: Millis) -> BTreeSet<String> {
+        self.fresh(now)
+            .flat_map(|(_, h)| h.parts.iter())
+            .flat_map(|p| p.heard.iter().cloned())
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/coordination/placement.rs
@@ -0,0 +1,135 @@
+//! The ordinary path of placement: the Weighted heuristic (section 3, equation 1 of the paper).
+//!
+//! Machines are taken in non-decreasing `R_i = sum_k w_k * imp_ik`; `imp` is what stays free after
+//! fitting as many of the job's tasks as go, and
+//! `w_k = (estimate-weighted mean request of queued jobs * booked / capacity) / capacity`.
+
+use crate::bookkeeping::records::{JobSpec, Room};
+
+/// What the weights are worked out from.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    pub booked: Room,
+    pub capacity: Room,
+}
+
+/// The estimate in seconds that a job is counted with.
+pub fn estimate(spec: &JobSpec, default_s: f64) -> f64 {
+    if spec.estimate_s > 0.0 {
+        spec.estimate_s
+    } else {
+        default_s
+    }
+}
+
+/// The criticality of each resource.
+pub fn weights<'a>(queued: impl Iterator<Item = &'a JobSpec>, default_s: f64, load: Load) -> Room {
+    let mut sum = Room::default();
+    let mut total = 0.0;
+    for spec in queued {
+        let est = estimate(spec, default_s);
+        sum.add(spec.room.times(est));
+        total += est;
+    }
+    if total <= 0.0 {
+        return Room::default();
+    }
+    let weight = |sum: f64, booked: f64, capacity: f64| {
+        if capacity > 0.0 {
+            sum / total * (booked / capacity) / capacity
+        } else {
+            0.0
+        }
+    };
+    Room {
+        cpus: weight(sum.cpus, load.booked.cpus, load.capacity.cpus),
+        gpus: weight(sum.gpus, load.booked.gpus, load.capacity.gpus),
+        mem: weight(sum.mem, load.booked.mem, load.capacity.mem),
+    }
+}
+
+/// A machine as placement sees it.
+#[derive(Clone, Debug)]
+pub struct Seat {
+    pub free: Room,
+    pub zone: usize,
+    /// Most tasks that may be put here now.
+    pub cap: u32,
+    pub has_image: bool,
+}
+
+pub fn rank(weights: Room, free: Room, task: Room, want: u32) -> f64 {
+    let fit = task.count_in(free).min(want);
+    let mut rest = free;
+    rest.sub(task.times(f64::from(fit)));
+    weights.cpus * rest.cpus + weights.gpus * rest.gpus + weights.mem * rest.mem
+}
+
+/// The zones' rule for a job's tasks: what is on machines now, by zone.
+#[derive(Clone, Debug, Default)]
+pub struct ZoneRule {
+    pub together: bool,
+    /// Most tasks that one zone may hold.
+    pub most: Option<u32>,
+    /// Tasks possibly on machines, by zone.
+    pub held: std::collections::BTreeMap<usize, u32>,
+}
+
+impl ZoneRule {
+    fn room(&self, zone: usize) -> u32 {
+        let here = self.held.get(&zone).copied().unwrap_or(0);
+        let elsewhere = self.held.iter().any(|(z, n)| *z != zone && *n > 0);
+        if self.together && elsewhere {
+            return 0;
+        }
+        self.most.map_or(u32::MAX, |most| most.saturating_sub(here))
+    }
+}
+
+/// Chooses seats for up to `want` tasks: pairs of seat and count, in the order of rank.
+/// Between equal ranks a machine that has the image goes first.
+pub fn place(
+    task: Room,
+    want: u32,
+    seats: &[Seat],
+    weights: Room,
+    zones: &mut ZoneRule,
+) -> Vec<(usize, u32)> {
+    let mut order: Vec<(f64, bool, usize)> = seats
+        .iter()
+        .enumerate()
+        .filter(|(_, seat)| seat.cap > 0 && task.fits_in(seat.free))
+        .map(|(i, seat)| (rank(weights, seat.free, task, want), !seat.has_image, i))
+        .collect();
+    order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
+    if zones.together && zones.held.values().all(|n| *n == 0) {
+        // The first task fixes the zone: choose the one that takes the most of the job.
+        let mut by_zone = std::collections::BTreeMap::<usize, u64>::new();
+        for (_, _, i) in &order {
+            let n = task.count_in(seats[*i].free).min(seats[*i].cap);
+            *by_zone.entry(seats[*i].zone).or_default() += u64::from(n);
+        }
+        if let Some(best) = by_zone.iter().max_by_key(|(_, n)| **n).map(|(z, _)| *z) {
+            order.retain(|(_, _, i)| seats[*i].zone == best);
+        }
+    }
+    let mut left = want;
+    let mut chosen = Vec::new();
+    for (_, _, i) in order {
+        if left == 0 {
+            break;
+        }
+        let seat = &seats[i];
+        let n = task
+            .count_in(seat.free)
+            .min(seat.cap)
+            .min(left)
+            .min(zones.room(seat.zone));
+        if n > 0 {
+            *zones.held.entry(seat.zone).or_default() += n;
+            chosen.push((i, n));
+            left -= n;
+        }
+    }
+    chosen
+}
--- /dev/null
+++ b/src/outbox.rs
@@ -0,0 +1,120 @@
+//! What the decisions ask the transport to do, and what it tells them of the result.
+
+use crate::ids::{CallId, ConnId, Member, Millis};
+use crate::protocol::peer::Hint;
+use std::net::SocketAddrV4;
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Method {
+    Get,
+    Post,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub enum Target {
+    State,
+    Cloud,
+    /// A worker, for commands sent straight to it.
+    Worker(SocketAddrV4),
+}
+
+#[derive(Clone, Debug)]
+pub enum CallResult {
+    Answer {
+        status: u16,
+        body: Vec<u8>,
+    },
+    /// Not a byte of the request left this process.
+    NotSent,
+    /// No answer: it may have been carried out, or may still be.
+    Lost,
+}
+
+#[derive(Clone, Debug)]
+pub struct Response {
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub retry_after_s: Option<u64>,
+}
+
+impl Response {
+    pub fn new(status: u16, body: Vec<u8>) -> Response {
+        Response {
+            status,
+            body,
+            retry_after_s: None,
+        }
+    }
+    /// Cannot be taken now: says so at once, and when to come back.
+    pub fn later(status: u16, why: &str, after_s: u64) -> Response {
+        Response {
+            status,
+            body: crate::protocol::user::error(why),
+            retry_after_s: Some(after_s.max(1)),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub method: String,
+    pub path: String,
+    pub body: Vec<u8>,
+}
+
+#[derive(Debug)]
+pub enum Input {
+    Request(ConnId, Request),
+    CallDone(CallId, CallResult),
+    Hint(Hint),
+    Tick,
+}
+
+#[derive(Debug)]
+pub enum Output {
+    Respond(ConnId, Response),
+    Call {
+        id: CallId,
+        target: Target,
+        method: Method,
+        path: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+    },
+    Hint(Member, Hint),
+}
+
+/// Collects outputs while an input is worked on.
+#[derive(Default)]
+pub struct Outbox {
+    pub now: Millis,
+    pub wall_ms: u64,
+    next_call: u64,
+    pub outputs: Vec<Output>,
+}
+
+impl Outbox {
+    pub fn call(
+        &mut self,
+        target: Target,
+        method: Method,
+        path: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+    ) -> CallId {
+        self.next_call += 1;
+        let id = CallId(self.next_call);
+        self.outputs.push(Output::Call {
+            id,
+            target,
+            method,
+            path,
+            body,
+            timeout_ms,
+        });
+        id
+    }
+    pub fn respond(&mut self, conn: ConnId, response: Response) {
+        self.outputs.push(Output::Respond(conn, response));
+    }
+}
--- /dev/null
+++ b/src/protocol/peer.rs
@@ -0,0 +1,32 @@
+//! Hints between controllers (prost, length-delimited). No rule depends on them.
+
+/// What a controller tells the others a few times a second.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Hint {
+    #[prost(string, tag = "1")]
+    pub member: String,
+    /// How long ago the state service last served this controller.
+    #[prost(uint64, tag = "2")]
+    pub state_silent_ms: u64,
+    /// How long the process has been up.
+    #[prost(uint64, tag = "3")]
+    pub up_ms: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub parts: Vec<PartHint>,
+    /// Teams that this controller could start more of, had it more of their limit.
+    #[prost(string, repeated, tag = "5")]
+    pub short_of: Vec<String>,
+}
+
+/// What an owner says of its part.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PartHint {
+    #[prost(uint32, tag = "1")]
+    pub part: u32,
+    #[prost(double, tag = "2")]
+    pub free_cpus: f64,
+    #[prost(double, tag = "3")]
+    pub waiting_cpus: f64,
+    #[prost(string, repeated, tag = "4")]
+    pub heard: Vec<String>,
+}
--- /dev/null
+++ b/src/protocol/worker.rs
@@ -0,0 +1,128 @@
+//! Workers: reports in, commands out.
+
+use crate::ids::{Attempt, JobId, MachineId, Seq, Session, TaskNo, Token};
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Report {
+    #[serde(rename = "Prensa")]
+    pub machine: MachineId,
+    #[serde(rename = "Modelo")]
+    pub model: String,
+    #[serde(rename = "Parcela")]
+    pub zone: String,
+    #[serde(rename = "Avulsas", default)]
+    pub spot: bool,
+    #[serde(rename = "Jornada")]
+    pub session: Session,
+    #[serde(rename = "Contagem")]
+    pub seq: Seq,
+    #[serde(rename = "Selo", default)]
+    pub token: Token,
+    #[serde(rename = "AvisoS", default)]
+    pub notice_s: Option<f64>,
+    #[serde(rename = "Tarefas", default)]
+    pub tasks: Vec<TaskReport>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct TaskReport {
+    #[serde(rename = "Tarefa")]
+    pub task: TaskRef,
+    #[serde(rename = "Tentativa")]
+    pub attempt: Attempt,
+    #[serde(rename = "Estado")]
+    pub state: TaskState,
+    #[serde(rename = "Motivo", default)]
+    pub why: Option<Why>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TaskState {
+    Pulling,
+    Running,
+    Saving,
+    Exited,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Why {
+    Done,
+    Stopped,
+    Error,
+    Full,
+    InUse,
+    Unknown,
+}
+
+/// `wk-000412/3`.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Deserialize, Serialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct TaskRef {
+    pub job: JobId,
+    pub task: TaskNo,
+}
+
+impl TryFrom<String> for TaskRef {
+    type Error = &'static str;
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        let (job, task) = text
+            .rsplit_once('/')
+            .ok_or("a task has the form job/number")?;
+        Ok(TaskRef {
+            job: JobId::new(job),
+            task: TaskNo(task.parse().map_err(|_| "a task has the form job/number")?),
+        })
+    }
+}
+
+impl From<TaskRef> for String {
+    fn from(task: TaskRef) -> String {
+        format!("{}/{}", task.job, task.task)
+    }
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize)]
+#[serde(tag = "Ordem", rename_all = "snake_case")]
+pub enum Command {
+    Run {
+        #[serde(rename = "Tarefa")]
+        task: TaskRef,
+        #[serde(rename = "Tentativa")]
+        attempt: Attempt,
+    },
+    Halt {
+        #[serde(rename = "Tarefa")]
+        task: TaskRef,
+        #[serde(rename = "Tentativa")]
+        attempt: Attempt,
+        #[serde(rename = "FolgaS")]
+        grace_s: f64,
+    },
+    Reap {
+        #[serde(rename = "Tarefa")]
+        task: TaskRef,
+        #[serde(rename = "Tentativa")]
+        attempt: Attempt,
+    },
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize)]
+pub struct Answer {
+    #[serde(rename = "Selo")]
+    pub token: Token,
+    #[serde(rename = "Ordens")]
+    pub commands: Vec<Command>,
+}
+
+#[derive(Serialize)]
+struct Redirect<'a> {
+    #[serde(rename = "RespondeA", skip_serializing_if = "Option::is_none")]
+    owner: Option<&'a str>,
+}
+
+pub fn redirect(owner: Option<&str>) -> Vec<u8> {
+    serde_json::to_vec(&Redirect { owner }).unwrap_or_default()
+}
