--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -26,6 +26,8 @@
 const GATHER_MS: u64 = 60;
 /// Names of returned machines that are remembered, to know late reports by.
 const TOMBSTONES: usize = 4_000;
+/// The least time between two moves of a team's grant by one part.
+const QUOTA_GAP_MS: u64 = 400;
 /// A job younger than this is left to the part that holds it.
 const CLAIM_AGE_MS: u64 = 1_500;
 /// Bytes of a transaction's body that may be used.
@@ -841,17 +843,12 @@
                 mem: f64::MAX / 4.0,
             };
             let waiting = job.view.waiting.len();
-            let mut want = Room {
+            let covered = Room {
                 mem: 0.0,
                 ..spec.room
             }
-            .count_in(headroom)
-            .min(waiting);
-            if want < waiting {
-                let lacking = self.short_of.entry(spec.team.clone()).or_default();
-                lacking.cpus += spec.room.cpus * f64::from(waiting - want);
-                lacking.gpus += spec.room.gpus * f64::from(waiting - want);
-            }
+            .count_in(headroom);
+            let mut want = waiting;
             if job.failures >= 2 && job.view.finished.is_empty() {
                 // Nothing of it has worked yet: try a single task at a time.
                 want = want.min(1u32.saturating_sub(job.view.started_count()));
@@ -901,7 +898,20 @@
                     }
                 })
                 .collect();
-            let chosen = placement::place(spec.room, want, &seats, weights, &mut zones);
+            let mut chosen = placement::place(spec.room, want, &seats, weights, &mut zones);
+            // What would fit but is not covered by the grant is asked for; a grant without room
+            // on machines would only be moved to and fro.
+            let fits: u32 = chosen.iter().map(|(_, n)| n).sum();
+            if fits > covered {
+                let lacking = self.short_of.entry(spec.team.clone()).or_default();
+                lacking.cpus += spec.room.cpus * f64::from(fits - covered);
+                lacking.gpus += spec.room.gpus * f64::from(fits - covered);
+                let mut left = covered;
+                for (_, n) in &mut chosen {
+                    *n = (*n).min(left);
+                    left -= *n;
+                }
+            }
             for (seat, count) in chosen {
                 let name = names[seat].clone();
                 for _ in 0..count {
@@ -1161,16 +1171,15 @@
                 // Another part could start more: keep what is used and, if this part waits too,
                 // an equal share.
                 let fair = match short {
-                    Some(_) => Grant {
-                        cpus: limit.cpus / parts,
-                        gpus: limit.gpus / parts,
+                    Some(lack) => Grant {
+                        cpus: (limit.cpus / parts).min(used.cpus + lack.cpus),
+                        gpus: (limit.gpus / parts).min(used.gpus + lack.gpus),
                     },
                     None => Grant::default(),
                 };
-                let demand = self.demand(&team);
                 wish = Grant {
-                    cpus: (used.cpus + demand.cpus).min(used.cpus.max(fair.cpus)),
-                    gpus: (used.gpus + demand.gpus).min(used.gpus.max(fair.gpus)),
+                    cpus: used.cpus.max(fair.cpus),
+                    gpus: used.gpus.max(fair.gpus),
                 };
             }
             let next = record.regrant(self.part, wish, used, limit);
@@ -1207,21 +1216,6 @@
         }
     }
 
-    fn demand(&self, team: &Team) -> Grant {
-        let mut demand = Grant::default();
-        for job in self.jobs.values() {
-            if let Some(spec) = job.spec()
-                && spec.team == *team
-                && !job.cancelled()
-            {
-                let n = f64::from(job.view.waiting.len());
-                demand.cpus += spec.room.cpus * n;
-                demand.gpus += spec.room.gpus * n;
-            }
-        }
-        demand
-    }
-
     pub fn quota_done(&mut self, result: TxnResult, env: &mut Env) {
         let now = env.now();
         let Some((team, value)) = self.quota_flight.take() else {
@@ -1232,6 +1226,8 @@
         match result {
             TxnResult::Done(revision) => {
                 state.ceiling = None;
+                // The same grant is not moved again at once: every move is a write.
+                state.retry_at = now.plus(QUOTA_GAP_MS);
                 let value = serde_json::to_value(value).unwrap_or_default();
                 env.mirror.apply(&key, Some(&value), revision);
                 self.dirty = true;
