--- a/src/coordination/gateway.rs
+++ b/src/coordination/gateway.rs
@@ -35,10 +35,16 @@
     tries: u32,
 }
 
+/// Submissions in one transaction, and the keys that it writes.
+struct Batch {
+    accepts: Vec<Accept>,
+    written: Vec<(String, serde_json::Value)>,
+}
+
 #[derive(Default)]
 pub struct Gateway {
     queue: VecDeque<Accept>,
-    batches: HashMap<u64, (Vec<Accept>, Vec<(String, serde_json::Value)>)>,
+    batches: HashMap<u64, Batch>,
     cancels: HashMap<u64, Cancel>,
     cancel_tries: HashMap<ConnId, u32>,
     next: u64,
@@ -263,12 +269,17 @@
             return;
         }
         self.next += 1;
-        self.batches.insert(self.next, (batch, written));
+        let accepts = batch;
+        self.batches.insert(self.next, Batch { accepts, written });
         env.store.txn(env.out, Tag::Accept(self.next), &txn);
     }
 
     pub fn accepted(&mut self, id: u64, result: TxnResult, env: &mut Env) {
-        let Some((batch, written)) = self.batches.remove(&id) else {
+        let Some(Batch {
+            accepts: batch,
+            written,
+        }) = self.batches.remove(&id)
+        else {
             return;
         };
         match result {
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -881,7 +881,7 @@
                         && spec.zone.as_ref().is_none_or(|z| zone_name == Some(z))
                         && (!spec.zones_bound() || zone_name.is_some())
                         && (!m.spot || spec.spot)
-                        && !(job.failed_on.contains(name) && !m.error_streak.is_empty());
+                        && (!job.failed_on.contains(name) || m.error_streak.is_empty());
                     let cap = if !allowed {
                         0
                     } else if m.error_streak.is_empty() {
