--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -156,6 +156,8 @@
     placed_at: Millis,
     pub free_cpus: f64,
     pub waiting_cpus: f64,
+    /// Tasks wait that some machine here could run, were it empty.
+    waiting_here: bool,
 }
 
 impl Shard {
@@ -183,6 +185,7 @@
             placed_at: Millis(0),
             free_cpus: 0.0,
             waiting_cpus: 0.0,
+            waiting_here: false,
         }
     }
 
@@ -941,6 +944,12 @@
         }
         self.dirty = false;
         self.free_cpus = free.iter().map(|r| r.cpus.max(0.0)).sum();
+        self.waiting_here = self
+            .jobs
+            .values()
+            .filter(waiting)
+            .filter_map(|j| j.spec())
+            .any(|spec| self.fit(spec, env, &HashMap::new()) > 0);
         self.waiting_cpus = self
             .jobs
             .values()
@@ -1256,10 +1265,10 @@
     /// An idle part takes over tasks that wait in another part, in one conditional transaction.
     fn claim(&mut self, env: &mut Env) {
         let now = env.now();
-        if self.claiming || self.waiting_cpus > 0.0 || self.free_cpus <= 0.0 || now < self.claim_at
-        {
+        if self.claiming || self.waiting_here || self.free_cpus <= 0.0 || now < self.claim_at {
             return;
         }
+        let used = self.machine_used();
         let mut best: Option<(WallMs, PartId, JobId, u32)> = None;
         for ((part, id), alloc) in &env.mirror.allocs {
             if *part == self.part || alloc.value.waiting.is_empty() {
@@ -1271,8 +1280,9 @@
             let (Some(spec), JobState::Open) = (&record.value.spec, record.value.state) else {
                 continue;
             };
-            // A job whose zones are bound stays whole; a young one may be about to start there.
-            if spec.zones_bound()
+            // A job whose zones are bound moves whole, before anything of it is started; a young
+            // one may be about to start there.
+            if (spec.zones_bound() && !alloc.value.started.is_empty())
                 || env.out.wall_ms < record.value.submitted.0 + CLAIM_AGE_MS
                 || self
                     .jobs
@@ -1281,10 +1291,15 @@
             {
                 continue;
             }
-            let fit = self.fit(spec, env);
+            let fit = self.fit(spec, env, &used);
             let older = best.as_ref().is_none_or(|b| record.value.submitted < b.0);
             if fit > 0 && older {
-                let count = fit.min(alloc.value.waiting.len());
+                let waiting = alloc.value.waiting.len();
+                let count = if spec.zones_bound() {
+                    waiting
+                } else {
+                    fit.min(waiting)
+                };
                 best = Some((record.value.submitted, *part, id.clone(), count));
             }
         }
@@ -1335,9 +1350,8 @@
         );
     }
 
-    /// How many tasks of a job could start here now.
-    fn fit(&self, spec: &JobSpec, env: &Env) -> u32 {
-        let used = self.machine_used();
+    /// How many tasks of a job could start here beside what is used.
+    fn fit(&self, spec: &JobSpec, env: &Env, used: &HashMap<MachineId, Room>) -> u32 {
         let fresh_ms = 2 * env.cfg.settings.report_ms() + 1_000;
         let mut count = 0u32;
         for (name, m) in &self.machines {
@@ -1386,7 +1400,7 @@
         let lease_ms = env.cfg.settings.lease_ms();
         let report_ms = env.cfg.settings.report_ms();
         let idle_ms = seconds_to_ms(env.cfg.ops.idle_release_s);
-        let waiting = self.waiting_cpus > 0.0;
+        let waiting = self.waiting_here;
         let mut back: Vec<MachineId> = Vec::new();
         let names: Vec<MachineId> = self.machines.keys().cloned().collect();
         for name in names {
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,91 @@
+//! Whole controllers in the stand-in world: PROTOCOL's rules are checked after every event.
+
+mod world;
+
+use world::{Sabotage, Weather, World};
+
+const CALM: Weather = Weather {
+    lost: 0.0,
+    late: 0.0,
+    crashes: false,
+    outages: false,
+    machine_faults: false,
+};
+
+const STORM: Weather = Weather {
+    lost: 0.03,
+    late: 0.5,
+    crashes: true,
+    outages: true,
+    machine_faults: true,
+};
+
+fn play(seed: u64, weather: Weather, sabotage: Sabotage, until: u64) -> World {
+    if std::env::var("LOG_LEVEL").is_ok() {
+        let _ = tracing_subscriber::fmt().without_time().try_init();
+    }
+    let mut world = World::new(seed, weather, sabotage, 14, 90_000);
+    world.run(until);
+    world
+}
+
+#[test]
+fn a_calm_day_runs_every_job() {
+    let world = play(1, CALM, Sabotage::default(), 150_000);
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert_eq!(world.settled(), world.users.len());
+    assert!(world.starts > 0);
+}
+
+#[test]
+fn the_rules_hold_in_storms_and_every_job_ends_after_them() {
+    for seed in 1..=30 {
+        let world = play(seed, STORM, Sabotage::default(), 280_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        let all = world.settled() == world.users.len();
+        assert!(all, "seed {seed}: {:#?}", world.unsettled());
+    }
+}
+
+#[test]
+fn a_day_follows_from_its_seed() {
+    let (a, b) = (1..=2)
+        .map(|_| play(5, STORM, Sabotage::default(), 120_000))
+        .map(|w| (w.starts, w.state.revision, w.settled()))
+        .fold((None, None), |(_, b), x| (b, Some(x)));
+    assert_eq!(a, b);
+}
+
+/// Guards against a part that holds only tasks its machines can never run and therefore claimed
+/// nothing from the others, each of which could have run the other's: every job stood still.
+#[test]
+fn parts_exchange_what_their_machines_cannot_run() {
+    let world = play(12, STORM, Sabotage::default(), 280_000);
+    assert_eq!(
+        world.settled(),
+        world.users.len(),
+        "{:#?}",
+        world.unsettled()
+    );
+}
+
+/// The checker can fail: without a safeguard some seed shows a broken rule.
+fn finds_something(sabotage: Sabotage) -> bool {
+    (1..=25).any(|seed| !play(seed, STORM, sabotage, 200_000).broken.is_empty())
+}
+
+#[test]
+fn without_conditions_in_transactions_a_rule_breaks() {
+    assert!(finds_something(Sabotage {
+        no_conditions: true,
+        ..Sabotage::default()
+    }));
+}
+
+#[test]
+fn with_returns_that_are_not_carried_out_a_rule_breaks() {
+    assert!(finds_something(Sabotage {
+        false_returns: true,
+        ..Sabotage::default()
+    }));
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,78 @@
+//! Settings: what is sound is taken, what is not is named.
+
+use snowshelf::operator::OperatorSettings;
+use snowshelf::settings::Settings;
+
+const SOUND: &str = r#"
+member = "a-0"
+serve_on = "10.0.0.1:8080"
+peer_listen = "10.0.0.1:8081"
+new_field = 1
+[outside]
+cloud = "10.2.0.2:1"
+state = "10.2.0.1:2"
+[deployment]
+nodes = 1
+[deployment.workers]
+report_s = 2.0
+lease_s = 10.0
+cancel_s = 30.0
+[deployment.state]
+rps = 100.0
+write_rps = 50.0
+value_kb = 16.0
+txn_ops = 12
+[deployment.cloud]
+rps = 2.0
+[deployment.limits]
+mem_mb = 64.0
+sockets = 1000
+"#;
+
+#[test]
+fn sound_settings_are_taken_and_unknown_fields_ignored() {
+    let settings = Settings::parse(SOUND).unwrap();
+    assert_eq!(settings.member_ttl_ms(), 3_500);
+}
+
+#[test]
+fn a_wrong_field_is_named_in_one_line() {
+    for (from, to, field) in [
+        ("nodes = 1", "nodes = 2", "peers"),
+        ("rps = 2.0", "rps = -2.0", "deployment.cloud.rps"),
+        ("txn_ops = 12", "txn_ops = 1", "deployment.state.txn_ops"),
+        ("member = \"a-0\"\n", "", "member"),
+        ("\"10.2.0.2:1\"", "\"nowhere\"", "nowhere"),
+    ] {
+        let error = Settings::parse(&SOUND.replace(from, to))
+            .unwrap_err()
+            .to_string();
+        assert!(error.contains(field), "{error}");
+        assert!(!error.contains('\n'), "{error}");
+    }
+}
+
+#[test]
+fn operators_settings_follow_their_schema() {
+    assert!(OperatorSettings::parse("{}").is_ok());
+    assert_eq!(
+        OperatorSettings::parse(r#"{"hold_ms": 5}"#)
+            .unwrap()
+            .hold_ms,
+        5
+    );
+    for wrong in [
+        r#"{"hold_ms": -1}"#,
+        r#"{"hold_ms": "x"}"#,
+        r#"{"other": 1}"#,
+        "[]",
+        "{",
+    ] {
+        assert!(OperatorSettings::parse(wrong).is_err(), "{wrong}");
+    }
+    let error = OperatorSettings::parse(r#"{"idle_release_s": 0}"#).unwrap_err();
+    assert!(
+        error.contains("idle_release_s") && error.contains("minimum"),
+        "{error}"
+    );
+}
--- /dev/null
+++ b/tests/world/cloud.rs
@@ -0,0 +1,92 @@
+//! A stand-in for the cloud, after its published protocol.
+
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+
+#[derive(Clone)]
+pub struct Machine {
+    pub model: String,
+    pub zone: String,
+    pub spot: bool,
+    pub at: u64,
+    pub up: bool,
+}
+
+#[derive(Default)]
+pub struct Cloud {
+    pub machines: BTreeMap<String, Machine>,
+    rented: BTreeMap<String, Value>,
+    next: u32,
+}
+
+/// Most machines of one pool.
+const POOL: usize = 3;
+
+pub fn types() -> Vec<u8> {
+    json!({"Modelos": [
+        {"Label": "s", "Cpus": 8, "Gpus": 0, "MemGb": 32, "FetchGbPerS": 1.0, "Hourly": 0.5,
+         "SpotPrice": 0.2, "ReadyS": 5, "Parcelas": ["a", "b"]}]})
+    .to_string()
+    .into_bytes()
+}
+
+impl Cloud {
+    pub fn rent(&mut self, now: u64, body: &Value) -> ((u16, Vec<u8>), Vec<String>) {
+        let name = body["Pedido"].as_str().unwrap_or("").to_string();
+        if let Some(before) = self.rented.get(&name) {
+            return ((200, before.to_string().into_bytes()), Vec::new());
+        }
+        let pool = |m: &&Machine| m.zone == body["Parcela"] && m.spot == body["Avulsas"];
+        let there = self.machines.values().filter(pool).count();
+        let number =
+            (body["Number"].as_u64().unwrap_or(0) as usize).min(POOL.saturating_sub(there));
+        if number == 0 {
+            let body = json!({"error": "no capacity"}).to_string().into_bytes();
+            return ((503, body), Vec::new());
+        }
+        let mut names = Vec::new();
+        for _ in 0..number {
+            self.next += 1;
+            let machine = Machine {
+                model: "s".into(),
+                zone: body["Parcela"].as_str().unwrap_or("a").into(),
+                spot: body["Avulsas"] == json!(true),
+                at: now,
+                up: false,
+            };
+            let name = format!("n-{:06}", self.next);
+            self.machines.insert(name.clone(), machine);
+            names.push(name);
+        }
+        let answer = json!({"Prensas": names});
+        self.rented.insert(name, answer.clone());
+        ((200, answer.to_string().into_bytes()), names)
+    }
+
+    pub fn boot(&mut self, _now: u64, name: &str) -> Option<Machine> {
+        let machine = self.machines.get_mut(name)?;
+        machine.up = true;
+        Some(machine.clone())
+    }
+
+    pub fn release(&mut self, _now: u64, name: &str) {
+        self.machines.remove(name);
+    }
+
+    /// The list lags: machines younger than three seconds are missing.
+    pub fn list(&self, now: u64) -> Vec<u8> {
+        let list: Vec<Value> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| now > m.at + 3_000)
+            .map(|(name, m)| {
+                json!({"Ref": name, "Address": "10.1.0.1:1", "Modelo": m.model, "Parcela": m.zone,
+                    "Avulsas": m.spot, "Estado": if m.up { "running" } else { "booting" },
+                    "AgeS": (now - m.at) as f64 / 1000.0})
+            })
+            .collect();
+        json!({"Prensas": list, "More": false})
+            .to_string()
+            .into_bytes()
+    }
+}
--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,814 @@
+//! A small deterministic world: state service, cloud, workers, users and a network that delays,
+//! loses and cuts, around real controllers' state machines. Everything follows from the seed.
+
+pub mod cloud;
+pub mod state;
+pub mod workers;
+
+use cloud::Cloud;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::{Value, json};
+use snowshelf::coordination::controller::{Controller, TICK_MS};
+use snowshelf::ids::{CallId, ConnId, Millis};
+use snowshelf::operator::OperatorSettings;
+use snowshelf::outbox::{CallResult, Input, Method, Output, Request, Target};
+use snowshelf::protocol::peer::Hint;
+use snowshelf::settings::Settings;
+use state::StateService;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use workers::{Worker, WorkerTask};
+
+pub const NODES: usize = 3;
+pub const LEASE_MS: u64 = 10_000;
+pub const REPORT_MS: u64 = 1_500;
+pub const CANCEL_MS: u64 = 35_000;
+pub const TEAM_LIMIT: f64 = 24.0;
+
+/// Safeguards of the surroundings that a test may switch off, to show that the checker can fail.
+#[derive(Clone, Copy, Default)]
+pub struct Sabotage {
+    /// The state service ignores the conditions of transactions.
+    pub no_conditions: bool,
+    /// The cloud confirms returns that it does not carry out.
+    pub false_returns: bool,
+    /// Workers obey whatever token.
+    pub no_tokens: bool,
+}
+
+/// How rough the network and the surroundings are.
+#[derive(Clone, Copy)]
+pub struct Weather {
+    /// Share of calls whose answer is lost.
+    pub lost: f64,
+    /// Of those, the share that is carried out seconds later.
+    pub late: f64,
+    pub crashes: bool,
+    pub outages: bool,
+    pub machine_faults: bool,
+}
+
+enum Event {
+    Tick(usize, u64),
+    Arrive {
+        node: usize,
+        life: u64,
+        id: CallId,
+        target: Target,
+        method: Method,
+        path: String,
+        body: Vec<u8>,
+        answered: bool,
+    },
+    Answer(usize, u64, CallId, CallResult),
+    HintFor(usize, Hint),
+    Crash(usize),
+    Restart(usize),
+    Refuse(usize, bool),
+    Outage(bool),
+    Report(String),
+    ReportTimeout(String, u64),
+    WorkerWakes(String),
+    Hang(String, u64),
+    Boot(String),
+    UserNext(usize),
+}
+
+struct Node {
+    controller: Option<Controller>,
+    life: u64,
+    started: u64,
+}
+
+pub struct User {
+    pub job: String,
+    pub spec: Value,
+    pub tasks: u32,
+    pub cpus: f64,
+    pub accepted: bool,
+    pub told_done: bool,
+    pub told_cancelled: Option<u64>,
+    pub wants_cancel: bool,
+    pub cancel_at: Option<u64>,
+    pub submit_at: u64,
+}
+
+enum Asked {
+    Worker(String, u64),
+    Submit(usize),
+    Poll(usize),
+    Cancel(usize),
+    Stranger,
+}
+
+pub struct World {
+    pub now: u64,
+    pub rng: StdRng,
+    queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    events: Vec<Option<Event>>,
+    order: u64,
+    nodes: Vec<Node>,
+    pub state: StateService,
+    pub cloud: Cloud,
+    pub workers: BTreeMap<String, Worker>,
+    pub users: Vec<User>,
+    asked: BTreeMap<(usize, u64, u64), Asked>,
+    next_conn: u64,
+    weather: Weather,
+    pub sabotage: Sabotage,
+    /// Completed tasks, by job.
+    pub finished: BTreeMap<String, BTreeSet<u32>>,
+    pub broken: Vec<String>,
+    pub starts: u64,
+    refused: BTreeSet<usize>,
+    outage: bool,
+    quiet_at: u64,
+}
+
+fn settings(i: usize) -> Settings {
+    let mut text = format!(
+        "member = \"n{i}\"\nserve_on = \"10.0.0.{0}:1\"\npeer_listen = \"10.0.0.{0}:2\"\n",
+        i + 1
+    );
+    for j in (0..NODES).filter(|j| *j != i) {
+        text += &format!(
+            "[[peers]]\nmember = \"n{j}\"\naddress = \"10.0.0.{}:2\"\n",
+            j + 1
+        );
+    }
+    text += &format!(
+        "[outside]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n[deployment]\nnodes = {NODES}\n\
+         zones = [\"a\", \"b\"]\nskew_ms = 100.0\n\
+         [[deployment.teams]]\nname = \"red\"\ncpus = 8.0\ncpus_max = {TEAM_LIMIT}\n\
+         [[deployment.teams]]\nname = \"blue\"\ncpus = 8.0\ncpus_max = {TEAM_LIMIT}\n\
+         [deployment.workers]\nreport_s = 1.5\nlease_s = 10.0\ncancel_s = 35.0\n\
+         [deployment.state]\nrps = 300.0\nwrite_rps = 120.0\nvalue_kb = 16.0\ntxn_ops = 12\n\
+         [deployment.cloud]\nrps = 6.0\nlist_lag_s = 3.0\n\
+         [deployment.limits]\ncore_share = 0.2\nmem_mb = 100.0\nsockets = 1000\n"
+    );
+    Settings::parse(&text).expect("the world's settings are sound")
+}
+
+impl World {
+    pub fn new(
+        seed: u64,
+        weather: Weather,
+        sabotage: Sabotage,
+        jobs: usize,
+        quiet_at: u64,
+    ) -> World {
+        let mut world = World {
+            now: 1,
+            rng: StdRng::seed_from_u64(seed),
+            queue: BinaryHeap::new(),
+            events: Vec::new(),
+            order: 0,
+            nodes: Vec::new(),
+            state: StateService::new(sabotage.no_conditions),
+            cloud: Cloud::default(),
+            workers: BTreeMap::new(),
+            users: Vec::new(),
+            asked: BTreeMap::new(),
+            next_conn: 0,
+            weather,
+            sabotage,
+            finished: BTreeMap::new(),
+            broken: Vec::new(),
+            starts: 0,
+            refused: BTreeSet::new(),
+            outage: false,
+            quiet_at,
+        };
+        for i in 0..NODES {
+            world.nodes.push(Node {
+                controller: None,
+                life: 0,
+                started: 0,
+            });
+            world.restart(i);
+        }
+        for u in 0..jobs {
+            let user = world.draw_user(u);
+            let at = user.submit_at;
+            world.users.push(user);
+            world.at(at, Event::UserNext(u));
+        }
+        world.draw_faults();
+        world
+    }
+
+    fn draw_user(&mut self, u: usize) -> User {
+        let tasks = self.rng.random_range(1..12u32);
+        let cpus = f64::from(self.rng.random_range(1..4u32));
+        let team = if self.rng.random_bool(0.5) {
+            "red"
+        } else {
+            "blue"
+        };
+        let zone = match self.rng.random_range(0..5u32) {
+            0 => Some("a"),
+            1 => Some("b"),
+            _ => None,
+        };
+        let bound = self.rng.random_range(0..6u32);
+        let job = format!("wk-{:06}", u + 1);
+        let spec = json!({"Ref": job, "Lote": "c", "Cuadrilla": team, "Feitio": "batch",
+            "Precedencia": "normal", "Tarefas": tasks, "Cpus": cpus, "Gpus": 0.0, "MemGb": 1.0,
+            "Matriz": format!("img-{}", u % 3), "PullGb": 1.0, "Modelos": null, "Parcela": zone,
+            "Together": bound == 0, "Apart": bound == 1 && zone.is_none(),
+            "Avulsas": self.rng.random_bool(0.5), "PrevisaoS": 5.0, "MarcoS": 0.0, "GuardaS": 0.0,
+            "PrazoS": null});
+        let submit_at = self.rng.random_range(2_000..40_000u64);
+        let cancel_at = self
+            .rng
+            .random_bool(0.2)
+            .then(|| submit_at + self.rng.random_range(500..40_000u64));
+        User {
+            job,
+            spec,
+            tasks,
+            cpus,
+            accepted: false,
+            told_done: false,
+            told_cancelled: None,
+            wants_cancel: false,
+            cancel_at,
+            submit_at,
+        }
+    }
+
+    fn draw_faults(&mut self) {
+        let end = self.quiet_at;
+        if self.weather.crashes {
+            for _ in 0..4 {
+                let (at, node) = (
+                    self.rng.random_range(5_000..end),
+                    self.rng.random_range(0..NODES),
+                );
+                self.at(at, Event::Crash(node));
+            }
+            if self.rng.random_bool(0.5) {
+                let at = self.rng.random_range(5_000..end);
+                for node in 0..NODES {
+                    self.at(at + node as u64 * 300, Event::Crash(node));
+                }
+            }
+        }
+        if self.weather.outages {
+            let at = self.rng.random_range(5_000..end);
+            let long = self.rng.random_range(2_000..20_000u64);
+            self.at(at, Event::Outage(true));
+            self.at((at + long).min(end), Event::Outage(false));
+            for _ in 0..2 {
+                let (at, node) = (
+                    self.rng.random_range(5_000..end),
+                    self.rng.random_range(0..NODES),
+                );
+                let long = self.rng.random_range(2_000..25_000u64);
+                self.at(at, Event::Refuse(node, true));
+                self.at((at + long).min(end), Event::Refuse(node, false));
+            }
+        }
+    }
+
+    fn at(&mut self, time: u64, event: Event) {
+        self.order += 1;
+        self.events.push(Some(event));
+        let slot = self.events.len() - 1;
+        self.queue
+            .push(Reverse((time.max(self.now), self.order, slot)));
+    }
+
+    fn after(&mut self, ms: u64, event: Event) {
+        self.at(self.now + ms, event);
+    }
+
+    fn hop(&mut self) -> u64 {
+        self.rng.random_range(1..6)
+    }
+
+    pub fn run(&mut self, until: u64) {
+        while let Some(Reverse((time, _, slot))) = self.queue.pop() {
+            if time > until || !self.broken.is_empty() {
+                return;
+            }
+            self.now = time;
+            if let Some(event) = self.events[slot].take() {
+                self.handle(event);
+            }
+            self.check();
+        }
+    }
+
+    fn restart(&mut self, i: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[i];
+        node.life += 1;
+        node.started = now;
+        node.controller = Some(Controller::new(
+            settings(i),
+            OperatorSettings::default(),
+            Millis(1),
+        ));
+        let life = node.life;
+        self.after(1, Event::Tick(i, life));
+    }
+
+    fn feed(&mut self, i: usize, input: Input) {
+        let now = self.now;
+        let node = &mut self.nodes[i];
+        let life = node.life;
+        let clock = Millis(now - node.started + 1);
+        let Some(controller) = &mut node.controller else {
+            return;
+        };
+        let outputs = controller.handle(input, clock, 1_000_000_000 + now);
+        for output in outputs {
+            match output {
+                Output::Respond(conn, response) => {
+                    let ms = self.hop();
+                    if let Some(asked) = self.asked.remove(&(i, life, conn.0)) {
+                        self.answered(asked, response.status, response.body, ms);
+                    }
+                }
+                Output::Call {
+                    id,
+                    target,
+                    method,
+                    path,
+                    body,
+                    timeout_ms,
+                } => {
+                    let quiet = now >= self.quiet_at;
+                    let lost = !quiet && self.rng.random_bool(self.weather.lost);
+                    let late = lost && self.rng.random_bool(self.weather.late);
+                    let mut ms = self.hop();
+                    if late {
+                        ms += self.rng.random_range(1_000..15_000u64);
+                    }
+                    if lost {
+                        let result = CallResult::Lost;
+                        self.after(timeout_ms, Event::Answer(i, life, id, result));
+                    }
+                    // Of the lost ones, some never arrive, some do, some much later.
+                    if !lost || late || self.rng.random_bool(0.5) {
+                        self.after(
+                            ms,
+                            Event::Arrive {
+                                node: i,
+                                life,
+                                id,
+                                target,
+                                method,
+                                path,
+                                body,
+                                answered: !lost,
+                            },
+                        );
+                    }
+                }
+                Output::Hint(member, hint) => {
+                    let to = member.as_str()[1..].parse().unwrap_or(0);
+                    let ms = self.hop();
+                    self.after(ms, Event::HintFor(to, hint));
+                }
+            }
+        }
+    }
+
+    fn ask(&mut self, node: usize, method: &str, path: &str, body: Vec<u8>, asked: Asked) -> bool {
+        if self.nodes[node].controller.is_none() {
+            return false;
+        }
+        self.next_conn += 1;
+        let conn = self.next_conn;
+        let life = self.nodes[node].life;
+        self.asked.insert((node, life, conn), asked);
+        let request = Request {
+            method: method.into(),
+            path: path.into(),
+            body,
+        };
+        self.feed(node, Input::Request(ConnId(conn), request));
+        true
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick(i, life) => {
+                if self.nodes[i].life == life && self.nodes[i].controller.is_some() {
+                    self.feed(i, Input::Tick);
+                    self.after(TICK_MS, Event::Tick(i, life));
+                }
+            }
+            Event::Arrive {
+                node,
+                life,
+                id,
+                target,
+                method,
+                path,
+                body,
+                answered,
+            } => {
+                let reply = match target {
+                    Target::State => {
+                        if self.outage || self.refused.contains(&node) {
+                            Some((503, b"{}".to_vec()))
+                        } else {
+                            self.state
+                                .call(self.now, (node, life, id.0), method, &path, &body)
+                        }
+                    }
+                    Target::Cloud => Some(self.cloud_call(method, &path, &body)),
+                    Target::Worker(_) => Some((409, b"{}".to_vec())),
+                };
+                if let Some((status, body)) = reply
+                    && answered
+                {
+                    let ms = self.hop();
+                    self.after(
+                        ms,
+                        Event::Answer(node, life, id, CallResult::Answer { status, body }),
+                    );
+                }
+                self.wake_watchers();
+            }
+            Event::Answer(i, life, id, result) => {
+                if self.nodes[i].life == life {
+                    self.feed(i, Input::CallDone(id, result));
+                }
+            }
+            Event::HintFor(i, hint) => self.feed(i, Input::Hint(hint)),
+            Event::Crash(i) => {
+                self.nodes[i].controller = None;
+                self.nodes[i].life += 1;
+                self.asked.retain(|(node, _, _), _| *node != i);
+                let ms = self.rng.random_range(500..9_000);
+                self.after(ms, Event::Restart(i));
+            }
+            Event::Restart(i) => {
+                if self.nodes[i].controller.is_none() {
+                    self.restart(i);
+                }
+            }
+            Event::Refuse(i, on) => {
+                if on {
+                    self.refused.insert(i);
+                } else {
+                    self.refused.remove(&i);
+                }
+            }
+            Event::Outage(on) => {
+                self.outage = on;
+                self.state.outage(self.now, on);
+            }
+            Event::Boot(name) => self.boot(&name),
+            Event::Report(name) => self.report(&name),
+            Event::ReportTimeout(name, number) => {
+                if let Some(w) = self.workers.get_mut(&name)
+                    && w.in_flight == Some(number)
+                {
+                    w.in_flight = None;
+                    w.next_node(None);
+                    self.after(1_000, Event::Report(name));
+                }
+            }
+            Event::WorkerWakes(name) => self.worker_wakes(&name),
+            Event::Hang(name, ms) => {
+                let until = self.now + ms;
+                if let Some(w) = self.workers.get_mut(&name) {
+                    w.hung_until = until;
+                    self.at(until, Event::WorkerWakes(name.clone()));
+                    self.at(until, Event::Report(name));
+                }
+            }
+            Event::UserNext(u) => self.user_next(u),
+        }
+        for (node, life, call, body) in self.state.timeouts(self.now) {
+            let result = CallResult::Answer { status: 200, body };
+            self.after(1, Event::Answer(node, life, CallId(call), result));
+        }
+    }
+
+    fn wake_watchers(&mut self) {
+        for (node, life, call, body) in self.state.woken() {
+            let ms = self.hop();
+            let result = CallResult::Answer { status: 200, body };
+            self.after(ms, Event::Answer(node, life, CallId(call), result));
+        }
+    }
+
+    // ---- cloud ---------------------------------------------------------------------------
+
+    fn cloud_call(&mut self, method: Method, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
+        let value: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+        match (method, path.split('?').next().unwrap_or("")) {
+            (Method::Get, "/machine_types") => (200, cloud::types()),
+            (Method::Get, "/hosts") => (200, self.cloud.list(self.now)),
+            (Method::Post, "/hosts") => {
+                let (reply, new) = self.cloud.rent(self.now, &value);
+                for name in new {
+                    let ms = self.rng.random_range(1_000..12_000);
+                    self.after(ms, Event::Boot(name));
+                }
+                reply
+            }
+            (Method::Post, "/hosts/release") => {
+                for name in value["Prensas"].as_array().into_iter().flatten() {
+                    let name = name.as_str().unwrap_or("").to_string();
+                    self.cloud.release(self.now, &name);
+                    if !self.sabotage.false_returns {
+                        self.workers.remove(&name);
+                    }
+                }
+                (200, b"{}".to_vec())
+            }
+            _ => (400, b"{}".to_vec()),
+        }
+    }
+
+    fn boot(&mut self, name: &str) {
+        let Some(machine) = self.cloud.boot(self.now, name) else {
+            return;
+        };
+        let start = self.rng.random_range(0..NODES);
+        let worker = Worker::new(name, &machine, start, self.now);
+        self.workers.insert(name.to_string(), worker);
+        self.after(1, Event::Report(name.to_string()));
+        if self.weather.machine_faults && self.now < self.quiet_at {
+            if self.rng.random_bool(0.3) {
+                let ms = self.rng.random_range(1_000..20_000u64);
+                let at = self.now + self.rng.random_range(3_000..40_000u64);
+                self.at(at, Event::Hang(name.to_string(), ms));
+            }
+            let sick = self.rng.random_bool(0.1);
+            if let Some(w) = self.workers.get_mut(name) {
+                w.sick = sick;
+            }
+        }
+    }
+
+    // ---- workers -------------------------------------------------------------------------
+
+    fn report(&mut self, name: &str) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(name) else {
+            return;
+        };
+        if w.hung_until > now || w.in_flight.is_some() {
+            return;
+        }
+        if now < w.next_report {
+            let at = w.next_report;
+            self.at(at, Event::Report(name.to_string()));
+            return;
+        }
+        w.expire(now);
+        let (number, node, body) = w.begin_report(now);
+        let asked = Asked::Worker(name.to_string(), number);
+        let sent = {
+            let lost = now < self.quiet_at && self.rng.random_bool(self.weather.lost);
+            !lost && self.ask(node, "POST", "/checkin", body, asked)
+        };
+        if sent {
+            self.after(4_000, Event::ReportTimeout(name.to_string(), number));
+        } else if let Some(w) = self.workers.get_mut(name) {
+            w.in_flight = None;
+            w.next_node(None);
+            self.after(1_000, Event::Report(name.to_string()));
+        }
+    }
+
+    fn worker_answer(&mut self, name: &str, number: u64, status: u16, body: &[u8]) {
+        let now = self.now;
+        let lost = now < self.quiet_at && self.rng.random_bool(self.weather.lost);
+        let no_tokens = self.sabotage.no_tokens;
+        let Some(w) = self.workers.get_mut(name) else {
+            return;
+        };
+        if w.in_flight != Some(number) || lost || w.hung_until > now {
+            return;
+        }
+        w.in_flight = None;
+        let mut next = 1_000;
+        match status {
+            200 => {
+                let value: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+                let before = w.tasks.len();
+                let changed = w.accept(now, &value, no_tokens);
+                self.starts += (w.tasks.len().saturating_sub(before)) as u64;
+                next = if changed { 500 } else { REPORT_MS };
+                w.next_report = now + if changed { 500 } else { 0 };
+            }
+            421 => {
+                let value: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+                let to = value["RespondeA"]
+                    .as_str()
+                    .and_then(|n| n[1..].parse().ok());
+                if let Some(to) = to.filter(|to| *to != w.node) {
+                    w.node = to;
+                    next = 100;
+                } else {
+                    w.next_node(None);
+                }
+            }
+            _ => w.next_node(None),
+        }
+        self.after(next, Event::Report(name.to_string()));
+        self.worker_wakes(name);
+    }
+
+    fn worker_wakes(&mut self, name: &str) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(name) else {
+            return;
+        };
+        if w.hung_until > now {
+            return;
+        }
+        w.expire(now);
+        let (changed, next) = w.progress(now);
+        for task in &w.tasks {
+            if task.state == "exited" && task.why == "done" {
+                let (job, number) = task.name.split_once('/').unwrap_or(("", "0"));
+                self.finished
+                    .entry(job.to_string())
+                    .or_default()
+                    .insert(number.parse().unwrap_or(0));
+            }
+        }
+        let _ = changed;
+        if changed {
+            self.after(500, Event::Report(name.to_string()));
+        }
+        if let Some(at) = next {
+            self.at(at, Event::WorkerWakes(name.to_string()));
+        }
+    }
+
+    // ---- users ---------------------------------------------------------------------------
+
+    fn user_next(&mut self, u: usize) {
+        let node = self.rng.random_range(0..NODES);
+        let user = &mut self.users[u];
+        let (job, spec) = (user.job.clone(), user.spec.clone());
+        if user.cancel_at.is_some_and(|at| at <= self.now) && user.accepted {
+            user.wants_cancel = true;
+        }
+        let settled = user.told_done || user.told_cancelled.is_some();
+        let sent = if !user.accepted {
+            let body = spec.to_string().into_bytes();
+            self.ask(node, "POST", "/api/jobs", body, Asked::Submit(u))
+        } else if user.wants_cancel && !settled {
+            let path = format!("/api/jobs/{job}/cancel");
+            self.ask(node, "POST", &path, Vec::new(), Asked::Cancel(u))
+        } else {
+            let path = format!("/api/jobs/{job}");
+            self.ask(node, "GET", &path, Vec::new(), Asked::Poll(u))
+        };
+        let _ = sent;
+        if self.rng.random_bool(0.1) {
+            self.ask(
+                node,
+                "GET",
+                "/api/jobs/wk-999999",
+                Vec::new(),
+                Asked::Stranger,
+            );
+            // An accepted job may be submitted again at any time.
+            if self.users[u].accepted {
+                let body = spec.to_string().into_bytes();
+                self.ask(node, "POST", "/api/jobs", body, Asked::Submit(u));
+            }
+        }
+        self.after(2_000, Event::UserNext(u));
+    }
+
+    fn answered(&mut self, asked: Asked, status: u16, body: Vec<u8>, _ms: u64) {
+        let value: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        let word = value["Estado"].as_str().unwrap_or("").to_string();
+        match asked {
+            Asked::Worker(name, number) => self.worker_answer(&name, number, status, &body),
+            Asked::Stranger => {
+                if status == 200 {
+                    self.broken
+                        .push("invented: a job nobody submitted is known".into());
+                }
+            }
+            Asked::Submit(u) | Asked::Poll(u) | Asked::Cancel(u) => {
+                let now = self.now;
+                let user = &mut self.users[u];
+                let job = user.job.clone();
+                if user.accepted && matches!(status, 404 | 400 | 422) {
+                    self.broken
+                        .push(format!("forgotten: {job} is answered {status}"));
+                    return;
+                }
+                if status != 200 && status != 201 {
+                    return;
+                }
+                user.accepted = true;
+                let went_back = (user.told_done && word != "done")
+                    || (user.told_cancelled.is_some() && word != "aborted")
+                    || (word == "aborted" && !user.wants_cancel);
+                if word == "done" {
+                    user.told_done = true;
+                }
+                if word == "aborted" && user.told_cancelled.is_none() {
+                    user.told_cancelled = Some(now);
+                }
+                let tasks = user.tasks;
+                let all = self.finished.get(&job).map_or(0, |f| f.len() as u32);
+                if went_back {
+                    self.broken.push(format!("went_back: {job} is now {word}"));
+                }
+                if word == "done" && all < tasks {
+                    self.broken
+                        .push(format!("not_done: {job} has {all} of {tasks} tasks"));
+                }
+            }
+        }
+    }
+
+    // ---- the rules -----------------------------------------------------------------------
+
+    fn check(&mut self) {
+        let mut on: BTreeMap<&str, &str> = BTreeMap::new();
+        let mut used: BTreeMap<&str, f64> = BTreeMap::new();
+        let mut zones: BTreeMap<&str, BTreeMap<&str, u32>> = BTreeMap::new();
+        let mut broken = Vec::new();
+        for (name, w) in &self.workers {
+            for task in w.tasks.iter().filter(|t| WorkerTask::is_on(t)) {
+                if let Some(other) = on.insert(&task.name, name) {
+                    broken.push(format!("ran_twice: {} on {other} and {name}", task.name));
+                }
+                let (job, _) = task.name.split_once('/').unwrap_or(("", ""));
+                let Some(user) = self.users.iter().find(|u| u.job == job) else {
+                    broken.push(format!("{} belongs to no job", task.name));
+                    continue;
+                };
+                let team = user.spec["Cuadrilla"].as_str().unwrap_or("");
+                *used.entry(team).or_default() += user.cpus;
+                let zone = user.spec["Parcela"].as_str();
+                if zone.is_some_and(|z| z != w.zone)
+                    || (w.spot && user.spec["Avulsas"] == json!(false))
+                {
+                    broken.push(format!("wrong_place: {} on {name}", task.name));
+                }
+                *zones
+                    .entry(&user.job)
+                    .or_default()
+                    .entry(&w.zone)
+                    .or_default() += 1;
+                if let Some(told) = user.told_cancelled
+                    && self.now > told + CANCEL_MS
+                {
+                    broken.push(format!("ran_cancelled: {}", task.name));
+                }
+            }
+        }
+        for (team, cpus) in used {
+            if cpus > TEAM_LIMIT + 1e-6 {
+                broken.push(format!("quota: {team} uses {cpus}"));
+            }
+        }
+        for (job, by_zone) in zones {
+            let Some(user) = self.users.iter().find(|u| u.job == job) else {
+                continue;
+            };
+            let most = by_zone.values().max().copied().unwrap_or(0);
+            if user.spec["Together"] == json!(true) && by_zone.len() > 1 {
+                broken.push(format!("wrong_place: {job} is not together"));
+            }
+            if user.spec["Apart"] == json!(true) && most > user.tasks.div_ceil(2) {
+                broken.push(format!("wrong_place: {job} is not apart"));
+            }
+        }
+        self.broken.extend(broken);
+    }
+
+    /// Jobs whose users have heard the end.
+    pub fn settled(&self) -> usize {
+        self.users
+            .iter()
+            .filter(|u| u.told_done || u.told_cancelled.is_some())
+            .count()
+    }
+}
+
+impl World {
+    /// What is known of the jobs that have not ended, for a failing test's message.
+    pub fn unsettled(&self) -> Vec<String> {
+        let mut lines: Vec<String> = self
+            .users
+            .iter()
+            .filter(|u| !u.told_done && u.told_cancelled.is_none())
+            .map(|u| format!("{} accepted={} {}", u.job, u.accepted, u.spec))
+            .collect();
+        lines.extend(self.state.dump());
+        lines.extend(self.workers.iter().map(|(n, w)| w.describe(n)));
+        lines
+    }
+}
--- /dev/null
+++ b/tests/world/state.rs
@@ -0,0 +1,272 @@
+//! A stand-in for the state service, after its published protocol.
+
+use serde_json::{Value, json};
+use snowshelf::outbox::Method;
+use std::collections::BTreeMap;
+
+type Caller = (usize, u64, u64);
+type Reply = Option<(u16, Vec<u8>)>;
+
+struct Key {
+    value: Value,
+    version: u64,
+    lease: Option<u64>,
+}
+
+struct Watch {
+    caller: Caller,
+    prefix: String,
+    after: u64,
+    until: u64,
+}
+
+pub struct StateService {
+    keys: BTreeMap<String, Key>,
+    pub revision: u64,
+    log: Vec<(u64, String, Option<Value>)>,
+    leases: BTreeMap<u64, (u64, u64)>,
+    next_lease: u64,
+    watches: Vec<Watch>,
+    ignore_conditions: bool,
+    outage: bool,
+}
+
+fn bytes(value: Value) -> Vec<u8> {
+    value.to_string().into_bytes()
+}
+
+fn param<'a>(path: &'a str, name: &str) -> Option<&'a str> {
+    path.split_once('?')?
+        .1
+        .split('&')
+        .find_map(|p| p.strip_prefix(name)?.strip_prefix('='))
+}
+
+impl StateService {
+    pub fn new(ignore_conditions: bool) -> StateService {
+        StateService {
+            keys: BTreeMap::new(),
+            revision: 0,
+            log: Vec::new(),
+            leases: BTreeMap::new(),
+            next_lease: 0,
+            watches: Vec::new(),
+            ignore_conditions,
+            outage: false,
+        }
+    }
+
+    /// When an outage ends, every lease has its full time again.
+    pub fn outage(&mut self, now: u64, on: bool) {
+        self.outage = on;
+        if !on {
+            for (ttl, until) in self.leases.values_mut() {
+                *until = now + *ttl;
+            }
+        }
+    }
+
+    fn expire(&mut self, now: u64) {
+        if self.outage {
+            return;
+        }
+        let dead: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (_, until))| *until < now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in dead {
+            self.leases.remove(&id);
+            let keys: Vec<String> = self
+                .keys
+                .iter()
+                .filter(|(_, k)| k.lease == Some(id))
+                .map(|(k, _)| k.clone())
+                .collect();
+            for key in keys {
+                self.revision += 1;
+                self.keys.remove(&key);
+                self.log.push((self.revision, key, None));
+            }
+        }
+    }
+
+    pub fn call(
+        &mut self,
+        now: u64,
+        caller: Caller,
+        method: Method,
+        path: &str,
+        body: &[u8],
+    ) -> Reply {
+        self.expire(now);
+        let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+        let bare = path.split('?').next().unwrap_or("");
+        match (method, bare) {
+            (Method::Post, "/txn") => Some(self.txn(&body)),
+            (Method::Post, "/leases") => {
+                self.next_lease += 1;
+                let ttl = body["TtlMs"].as_u64().unwrap_or(1_000);
+                self.leases.insert(self.next_lease, (ttl, now + ttl));
+                Some((200, bytes(json!({"Arrendo": self.next_lease}))))
+            }
+            (Method::Post, _) => {
+                let id: u64 = bare
+                    .split('/')
+                    .nth(2)
+                    .and_then(|n| n.parse().ok())
+                    .unwrap_or(0);
+                match self.leases.get_mut(&id) {
+                    Some((ttl, until)) => {
+                        *until = now + *ttl;
+                        Some((200, bytes(json!({"Arrendo": id}))))
+                    }
+                    None => Some((404, bytes(json!({})))),
+                }
+            }
+            (Method::Get, "/kv") => {
+                let after = param(path, "After").unwrap_or("");
+                let limit: usize = param(path, "Limit")
+                    .and_then(|l| l.parse().ok())
+                    .unwrap_or(1000);
+                let all: Vec<_> = self
+                    .keys
+                    .iter()
+                    .filter(|(k, _)| k.as_str() > after)
+                    .collect();
+                let items: Vec<Value> = all
+                    .iter()
+                    .take(limit)
+                    .map(|(k, v)| json!({"Path": k, "Value": v.value, "Colheita": v.version}))
+                    .collect();
+                let more = all.len() > limit;
+                Some((
+                    200,
+                    bytes(json!({"Items": items, "More": more, "Safra": self.revision})),
+                ))
+            }
+            (Method::Get, "/changes") => {
+                let after = param(path, "After")
+                    .and_then(|a| a.parse().ok())
+                    .unwrap_or(0);
+                let wait: u64 = param(path, "WaitMs")
+                    .and_then(|a| a.parse().ok())
+                    .unwrap_or(0);
+                self.watches.push(Watch {
+                    caller,
+                    prefix: String::new(),
+                    after,
+                    until: now + wait,
+                });
+                None
+            }
+            (Method::Get, _) => {
+                let key = bare.strip_prefix("/kv/").unwrap_or("");
+                Some(match self.keys.get(key) {
+                    Some(k) => (
+                        200,
+                        bytes(json!({"Path": key, "Value": k.value, "Colheita": k.version})),
+                    ),
+                    None => (404, bytes(json!({"Safra": self.revision}))),
+                })
+            }
+        }
+    }
+
+    fn txn(&mut self, body: &Value) -> (u16, Vec<u8>) {
+        let empty = Vec::new();
+        let changes = body["Apply"].as_array().unwrap_or(&empty);
+        for change in changes {
+            if let Some(lease) = change["Arrendo"].as_u64()
+                && !self.leases.contains_key(&lease)
+            {
+                return (400, bytes(json!({"error": "no such lease"})));
+            }
+        }
+        let failed: Vec<&str> = body["If"]
+            .as_array()
+            .unwrap_or(&empty)
+            .iter()
+            .filter(|c| {
+                let key = c["Path"].as_str().unwrap_or("");
+                let have = self.keys.get(key).map_or(0, |k| k.version);
+                c["Colheita"].as_u64() != Some(have)
+            })
+            .filter_map(|c| c["Path"].as_str())
+            .collect();
+        if !failed.is_empty() && !self.ignore_conditions {
+            return (
+                409,
+                bytes(json!({"failed": failed, "Safra": self.revision})),
+            );
+        }
+        if !changes.is_empty() {
+            self.revision += 1;
+        }
+        for change in changes {
+            if let Some(key) = change["Write"].as_str() {
+                let entry = Key {
+                    value: change["Value"].clone(),
+                    version: self.revision,
+                    lease: change["Arrendo"].as_u64(),
+                };
+                self.keys.insert(key.to_string(), entry);
+                let value = change["Value"].clone();
+                self.log.push((self.revision, key.to_string(), Some(value)));
+            } else if let Some(key) = change["Delete"].as_str() {
+                self.keys.remove(key);
+                self.log.push((self.revision, key.to_string(), None));
+            }
+        }
+        (200, bytes(json!({"Safra": self.revision})))
+    }
+
+    fn changes(&self, watch: &Watch) -> Vec<u8> {
+        let log: Vec<Value> = self
+            .log
+            .iter()
+            .filter(|(at, key, _)| *at > watch.after && key.starts_with(&watch.prefix))
+            .map(|(at, key, value)| match value {
+                Some(value) => json!({"Write": key, "Value": value, "Colheita": at}),
+                None => json!({"Delete": key, "Colheita": at}),
+            })
+            .collect();
+        bytes(json!({"Safra": self.revision, "Log": log}))
+    }
+
+    fn take(&mut self, ready: impl Fn(&Watch) -> bool) -> Vec<(usize, u64, u64, Vec<u8>)> {
+        if self.outage {
+            return Vec::new();
+        }
+        let (go, stay): (Vec<Watch>, Vec<Watch>) = std::mem::take(&mut self.watches)
+            .into_iter()
+            .partition(|w| ready(w));
+        self.watches = stay;
+        go.iter()
+            .map(|w| (w.caller.0, w.caller.1, w.caller.2, self.changes(w)))
+            .collect()
+    }
+
+    pub fn woken(&mut self) -> Vec<(usize, u64, u64, Vec<u8>)> {
+        let revision = self.revision;
+        self.take(|w| revision > w.after)
+    }
+
+    pub fn timeouts(&mut self, now: u64) -> Vec<(usize, u64, u64, Vec<u8>)> {
+        self.expire(now);
+        let revision = self.revision;
+        self.take(|w| w.until <= now || revision > w.after)
+    }
+}
+
+impl StateService {
+    /// All keys but finished jobs, for a failing test's message.
+    pub fn dump(&self) -> Vec<String> {
+        self.keys
+            .iter()
+            .filter(|(k, v)| !k.starts_with("job/") || v.value["parts"].is_array())
+            .map(|(k, v)| format!("{k}@{} {}", v.version, v.value))
+            .collect()
+    }
+}
--- /dev/null
+++ b/tests/world/workers.rs
@@ -0,0 +1,186 @@
+//! A stand-in for a machine's worker, after its published protocol.
+
+use super::cloud::Machine;
+use super::{LEASE_MS, NODES};
+use serde_json::{Value, json};
+
+#[derive(Clone)]
+pub struct WorkerTask {
+    pub name: String,
+    pub attempt: u64,
+    pub state: &'static str,
+    pub why: &'static str,
+    pub until: u64,
+}
+
+impl WorkerTask {
+    /// On its machine: from the moment it has its image until it exits.
+    pub fn is_on(task: &WorkerTask) -> bool {
+        task.state == "running" || task.state == "saving"
+    }
+}
+
+pub struct Worker {
+    name: String,
+    model: String,
+    pub zone: String,
+    pub spot: bool,
+    pub node: usize,
+    session: u64,
+    seq: u64,
+    token: u64,
+    lease_from: u64,
+    sent: u64,
+    sent_session: u64,
+    number: u64,
+    pub in_flight: Option<u64>,
+    pub hung_until: u64,
+    pub next_report: u64,
+    pub sick: bool,
+    pub tasks: Vec<WorkerTask>,
+}
+
+impl Worker {
+    pub fn new(name: &str, machine: &Machine, node: usize, now: u64) -> Worker {
+        Worker {
+            name: name.into(),
+            model: machine.model.clone(),
+            zone: machine.zone.clone(),
+            spot: machine.spot,
+            node,
+            session: 1,
+            seq: 0,
+            token: 0,
+            lease_from: now,
+            sent: 0,
+            sent_session: 1,
+            number: 0,
+            in_flight: None,
+            hung_until: 0,
+            next_report: 0,
+            sick: false,
+            tasks: Vec::new(),
+        }
+    }
+
+    pub fn next_node(&mut self, to: Option<usize>) {
+        self.node = to.unwrap_or((self.node + 1) % NODES);
+    }
+
+    /// Without an answered report for a lease, everything is killed and a new session begins.
+    pub fn expire(&mut self, now: u64) {
+        if now > self.lease_from + LEASE_MS {
+            self.tasks.clear();
+            self.session += 1;
+            self.seq = 0;
+            self.lease_from = now;
+        }
+    }
+
+    pub fn begin_report(&mut self, now: u64) -> (u64, usize, Vec<u8>) {
+        self.seq += 1;
+        self.number += 1;
+        self.sent = now;
+        self.sent_session = self.session;
+        self.in_flight = Some(self.number);
+        let tasks: Vec<Value> = self
+            .tasks
+            .iter()
+            .map(|t| {
+                json!({"Tarefa": t.name, "Tentativa": t.attempt, "Estado": t.state,
+                    "Motivo": (t.state == "exited").then_some(t.why)})
+            })
+            .collect();
+        let body = json!({"Prensa": self.name, "Address": "10.1.0.1:1", "Modelo": self.model,
+            "Parcela": self.zone, "Avulsas": self.spot, "Jornada": self.session,
+            "Contagem": self.seq, "Selo": self.token, "AvisoS": null, "Tarefas": tasks});
+        (self.number, self.node, body.to_string().into_bytes())
+    }
+
+    /// Takes a 200 in; true if something changed.
+    pub fn accept(&mut self, now: u64, body: &Value, no_tokens: bool) -> bool {
+        let token = body["Selo"].as_u64().unwrap_or(0);
+        self.expire(now);
+        if self.sent_session != self.session || (token < self.token && !no_tokens) {
+            return false;
+        }
+        let mut changed = token > self.token;
+        self.token = self.token.max(token);
+        self.lease_from = self.sent;
+        for order in body["Ordens"].as_array().into_iter().flatten() {
+            let name = order["Tarefa"].as_str().unwrap_or("").to_string();
+            let attempt = order["Tentativa"].as_u64().unwrap_or(0);
+            let at = self
+                .tasks
+                .iter()
+                .position(|t| t.name == name && t.attempt == attempt);
+            match (order["Ordem"].as_str(), at) {
+                (Some("run"), None) => {
+                    let other = self
+                        .tasks
+                        .iter()
+                        .any(|t| t.name == name && t.state != "exited");
+                    let (state, why) = match (other, self.sick) {
+                        (true, _) => ("exited", "in_use"),
+                        (_, true) => ("exited", "error"),
+                        _ => ("pulling", ""),
+                    };
+                    self.tasks.push(WorkerTask {
+                        name,
+                        attempt,
+                        state,
+                        why,
+                        until: now + 800,
+                    });
+                    changed = true;
+                }
+                (Some("halt"), Some(at)) if self.tasks[at].state != "exited" => {
+                    self.tasks[at].state = "exited";
+                    self.tasks[at].why = "stopped";
+                    changed = true;
+                }
+                (Some("reap"), Some(at)) if self.tasks[at].state == "exited" => {
+                    self.tasks.remove(at);
+                    changed = true;
+                }
+                _ => {}
+            }
+        }
+        changed
+    }
+
+    /// Lets tasks go on; whether something changed, and when something will.
+    pub fn progress(&mut self, now: u64) -> (bool, Option<u64>) {
+        let mut changed = false;
+        let mut next = None;
+        for task in &mut self.tasks {
+            if task.state == "pulling" && task.until <= now {
+                task.state = "running";
+                task.until = now + 3_000 + 700 * (task.name.len() as u64 % 3);
+                changed = true;
+            } else if task.state == "running" && task.until <= now {
+                task.state = "exited";
+                task.why = "done";
+                changed = true;
+            }
+            if task.state != "exited" && next.is_none_or(|n| task.until < n) {
+                next = Some(task.until);
+            }
+        }
+        (changed, next)
+    }
+}
+
+impl Worker {
+    pub fn describe(&self, name: &str) -> String {
+        format!(
+            "{name} zone={} spot={} node={} session={} token={} tasks={}",
+            self.zone,
+            self.spot,
+            self.node,
+            self.session,
+            self.token,
+            self.tasks.len()
+        )
+    }
+}
