--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -48,6 +48,15 @@
     }
 }
 
+/// How near a machine is to having a job's image, best first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Image {
+    Cached,
+    /// Being fetched for another task: one fetch serves both.
+    Coming,
+    Absent,
+}
+
 /// A machine as placement sees it.
 #[derive(Clone, Debug)]
 pub struct Seat {
@@ -55,7 +64,8 @@
     pub zone: usize,
     /// Most tasks that may be put here now.
     pub cap: u32,
-    pub has_image: bool,
+    /// What it would cost to have the image here.
+    pub image: Image,
 }
 
 pub fn rank(weights: Room, free: Room, task: Room, want: u32) -> f64 {
@@ -87,7 +97,8 @@
 }
 
 /// Chooses seats for up to `want` tasks: pairs of seat and count, in the order of rank.
-/// Between equal ranks a machine that has the image goes first.
+/// The one exception to that order: machines that have the image, or are fetching it, go first,
+/// since a fetch often takes longer than the task; between equals the one that takes more goes first.
 pub fn place(
     task: Room,
     want: u32,
@@ -95,27 +106,36 @@
     weights: Room,
     zones: &mut ZoneRule,
 ) -> Vec<(usize, u32)> {
-    let mut order: Vec<(f64, bool, usize)> = seats
+    let mut order: Vec<(Image, f64, std::cmp::Reverse<u32>, usize)> = seats
         .iter()
         .enumerate()
         .filter(|(_, seat)| seat.cap > 0 && task.fits_in(seat.free))
-        .map(|(i, seat)| (rank(weights, seat.free, task, want), !seat.has_image, i))
+        .map(|(i, seat)| {
+            let fit = task.count_in(seat.free).min(want);
+            let rank = rank(weights, seat.free, task, want);
+            (seat.image, rank, std::cmp::Reverse(fit), i)
+        })
         .collect();
-    order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
+    order.sort_by(|a, b| {
+        a.0.cmp(&b.0)
+            .then(a.1.total_cmp(&b.1))
+            .then(a.2.cmp(&b.2))
+            .then(a.3.cmp(&b.3))
+    });
     if zones.together && zones.held.values().all(|n| *n == 0) {
         // The first task fixes the zone: choose the one that takes the most of the job.
         let mut by_zone = std::collections::BTreeMap::<usize, u64>::new();
-        for (_, _, i) in &order {
+        for (_, _, _, i) in &order {
             let n = task.count_in(seats[*i].free).min(seats[*i].cap);
             *by_zone.entry(seats[*i].zone).or_default() += u64::from(n);
         }
         if let Some(best) = by_zone.iter().max_by_key(|(_, n)| **n).map(|(z, _)| *z) {
-            order.retain(|(_, _, i)| seats[*i].zone == best);
+            order.retain(|(_, _, _, i)| seats[*i].zone == best);
         }
     }
     let mut left = want;
     let mut chosen = Vec::new();
-    for (_, _, i) in order {
+    for (_, _, _, i) in order {
         if left == 0 {
             break;
         }
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -4,7 +4,7 @@
 //! commands has been committed first, and is commanded only inside answers to reports.
 
 use super::env::{CloudTag, Env, Tag};
-use super::placement::{self, Load, Seat, ZoneRule};
+use super::placement::{self, Image, Load, Seat, ZoneRule};
 use crate::bookkeeping::records::{
     Alloc, Grant, JobRecord, JobSpec, JobState, Kind, QuotaRecord, Room, Step, StepKind, alloc_key,
     job_key, part_key, quota_key,
@@ -112,6 +112,8 @@
     held: Option<(ConnId, Millis)>,
     idle_since: Option<Millis>,
     images: HashSet<String>,
+    /// Images that tasks placed here wait for.
+    coming: HashSet<String>,
     /// Jobs whose tasks failed here since a task last completed here.
     error_streak: Vec<JobId>,
     completed: u32,
@@ -154,6 +156,7 @@
     /// Something changed that placement may use.
     dirty: bool,
     placed_at: Millis,
+    told_at: Millis,
     pub free_cpus: f64,
     pub waiting_cpus: f64,
     /// Tasks wait that some machine here could run, were it empty.
@@ -183,6 +186,7 @@
             releasing: None,
             dirty: true,
             placed_at: Millis(0),
+            told_at: Millis(0),
             free_cpus: 0.0,
             waiting_cpus: 0.0,
             waiting_here: false,
@@ -275,6 +279,31 @@
         }
     }
 
+    /// One line on the part's load, for whoever reads the logs.
+    fn tell(&self, env: &Env) {
+        let mut cpus: BTreeMap<&str, f64> = BTreeMap::new();
+        let mut capacity = 0.0;
+        for m in self.machines.values() {
+            capacity += env.types.get(&m.model).map_or(0.0, |t| t.cpus);
+            for item in &m.listed {
+                let room = self.jobs.get(&item.task.job).and_then(|j| j.spec()).map(|s| s.room);
+                let state = match item.state {
+                    TaskState::Pulling => "pulling",
+                    TaskState::Running => "running",
+                    TaskState::Saving => "saving",
+                    TaskState::Exited => "exited",
+                };
+                if let Some(room) = room {
+                    *cpus.entry(state).or_default() += room.cpus;
+                }
+            }
+        }
+        let of = |state: &str| cpus.get(state).copied().unwrap_or(0.0);
+        tracing::info!(part = %self.part, machines = self.machines.len(), capacity, free = self.free_cpus,
+            running = of("running"), pulling = of("pulling"), exited = of("exited"),
+            waiting = self.waiting_cpus, jobs = self.jobs.len(), "load in CPUs");
+    }
+
     fn step(&mut self, now: Millis, job: &JobId, step: Step) -> bool {
         let Some(entry) = self.jobs.get_mut(job) else {
             return false;
@@ -345,7 +374,7 @@
         }
         if new_session {
             tracing::info!(machine = %name, session = report.session.0, "new session: its tasks are gone");
-            machine.images.clear();
+            machine.coming.clear();
         }
         machine.model = report.model;
         machine.zone = zone;
@@ -433,6 +462,7 @@
             {
                 let image = spec.image.clone();
                 if let Some(m) = self.machines.get_mut(name) {
+                    m.coming.remove(&image);
                     m.images.insert(image);
                 }
             }
@@ -897,7 +927,7 @@
                         free: *free,
                         zone: m.zone,
                         cap,
-                        has_image: m.images.contains(&spec.image),
+                        image: m.image(&spec.image),
                     }
                 })
                 .collect();
@@ -939,6 +969,7 @@
                 }
                 if let Some(m) = self.machines.get_mut(&name) {
                     m.idle_since = None;
+                    m.coming.insert(spec.image.clone());
                 }
             }
         }
@@ -1506,6 +1537,10 @@
         self.claim(env);
         self.tend_quota(others_short, env);
         self.tend_machines(env);
+        if now.since(self.told_at) >= 10_000 {
+            self.told_at = now;
+            self.tell(env);
+        }
         if now.since(self.taken) > 1_000 {
             // Reads that failed are asked again, a few times a second.
             if now.0 % 500 < 60 {
@@ -1528,6 +1563,16 @@
 }
 
 impl Machine {
+    fn image(&self, image: &str) -> Image {
+        if self.images.contains(image) {
+            Image::Cached
+        } else if self.coming.contains(image) {
+            Image::Coming
+        } else {
+            Image::Absent
+        }
+    }
+
     /// Whether tasks may be placed here.
     fn open(&self, now: Millis, fresh_ms: u64) -> bool {
         self.shown
@@ -1553,6 +1598,7 @@
             held: None,
             idle_since: None,
             images: HashSet::new(),
+            coming: HashSet::new(),
             error_streak: Vec::new(),
             completed: 0,
             draining: false,
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -7,7 +7,7 @@
 use snowshelf::bookkeeping::spans::Spans;
 use snowshelf::coordination::gateway::split;
 use snowshelf::coordination::ownership::{Verdict, verdict};
-use snowshelf::coordination::placement::{Seat, ZoneRule, place};
+use snowshelf::coordination::placement::{Image, Seat, ZoneRule, place};
 use snowshelf::ids::{Attempt, JobId, MachineId, PartId, TaskNo, Token, Version};
 use snowshelf::protocol::user::parse_submission;
 use snowshelf::protocol::worker::Report;
@@ -215,7 +215,8 @@
     ) {
         let task = Room { cpus: 2.0, gpus: 0.0, mem: 0.0 };
         let seats: Vec<Seat> = seats.into_iter().map(|(cpus, zone, cap, has_image)| Seat {
-            free: Room { cpus, gpus: 0.0, mem: 1.0 }, zone, cap, has_image,
+            free: Room { cpus, gpus: 0.0, mem: 1.0 }, zone, cap,
+            image: if has_image { Image::Cached } else { Image::Absent },
         }).collect();
         let mut zones = ZoneRule { together, most, ..ZoneRule::default() };
         let chosen = place(task, want, &seats, Room { cpus: 1.0, gpus: 0.0, mem: 0.0 }, &mut zones);
