--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -1,12 +1,13 @@
 //! The leader's fleet: what is listed, what to rent, what to return.
 
 use super::env::{CloudClient, CloudTag, Env};
-use crate::bookkeeping::records::{JobState, Room};
+use crate::bookkeeping::records::{JobSpec, JobState, Room};
 use crate::ids::{MachineId, Millis, Token, seconds_to_ms};
 use crate::outbox::{CallResult, Method};
 use crate::protocol::cloud::{
     ListAnswer, Listed, ListedState, MachineType, RentAnswer, TypesAnswer, rent_body,
 };
+use crate::settings::Settings;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A kind of machine in a place: what one rental request asks for.
@@ -58,8 +59,14 @@
     pub types: Option<Vec<String>>,
     pub zone: Option<String>,
     pub spot: bool,
+    pub estimate_s: f64,
+    /// How long its tasks may wait for room without missing an aim.
+    pub patience_s: f64,
 }
 
+/// A machine is dear for a job if it costs more than this many times the cheapest one allowed.
+const DEAR: f64 = 1.5;
+
 /// Room that is there or on its way.
 #[derive(Clone, Debug)]
 pub struct Have {
@@ -73,6 +80,14 @@
         && (want.spot || !pool.spot)
 }
 
+/// What a full machine costs for each task of `want`.
+fn unit_price(want: &Want, t: &MachineType, spot: bool) -> Option<f64> {
+    match want.room.count_in(t.room()) {
+        0 => None,
+        per => Some(t.price(spot) / f64::from(per)),
+    }
+}
+
 /// What to rent so that the wants fit: pure.
 pub fn plan(
     wants: &[Want],
@@ -104,13 +119,22 @@
     order.sort_by_key(|w| (w.spot, w.types.is_none(), w.zone.is_none()));
     // Jobs that may use spot machines leave the ordinary ones to those that may not.
     have.sort_by_key(|h| !h.pool.spot);
+    // What fits nowhere at once and waits for room, in CPU seconds.
+    let mut backlog = 0.0;
     for want in order {
         let mut left = want.tasks;
+        let mut reach = 0.0;
         for h in have.iter_mut().filter(|h| allows(want, &h.pool)) {
             let n = want.room.count_in(h.free).min(left);
             h.free.sub(want.room.times(f64::from(n)));
             left -= n;
+            reach += types.get(&h.pool.model).map_or(0.0, |t| t.cpus);
         }
+        let cheapest = types
+            .values()
+            .filter(|t| want.types.as_ref().is_none_or(|l| l.contains(&t.label)))
+            .filter_map(|t| unit_price(want, t, want.spot))
+            .fold(f64::INFINITY, f64::min);
         while left > 0 {
             let best = pools
                 .iter()
@@ -129,9 +153,18 @@
             let Some((_, _, pool, t, per)) = best else {
                 break;
             };
+            let dear = unit_price(want, t, pool.spot).is_none_or(|u| u > DEAR * cheapest);
+            if dear {
+                // Dear machines are rented only for what would wait too long for the others.
+                let work = backlog + f64::from(left) * want.room.cpus * want.estimate_s;
+                if work <= reach * want.patience_s {
+                    break;
+                }
+            }
             let n = per.min(left);
             let mut free = t.room();
             free.sub(want.room.times(f64::from(n)));
+            reach += t.cpus;
             have.push(Have {
                 pool: pool.clone(),
                 free,
@@ -139,10 +172,28 @@
             left -= n;
             *rent.entry(pool).or_default() += 1;
         }
+        backlog += f64::from(left) * want.room.cpus * want.estimate_s;
     }
     rent
 }
 
+/// How long the tasks of a job may wait, by the aims for its class and its deadline.
+fn patience_s(spec: &JobSpec, settings: &Settings) -> f64 {
+    let aims = settings
+        .deployment
+        .objectives
+        .iter()
+        .filter(|o| o.kind == "wait" && o.class.as_deref() == Some(spec.class.as_str()))
+        .filter_map(|o| o.within_s);
+    let deadline = spec.deadline_s.map(|d| (d - spec.estimate_s).max(1.0));
+    let least = aims.chain(deadline).fold(f64::INFINITY, f64::min);
+    if least.is_finite() {
+        least
+    } else {
+        spec.estimate_s.max(30.0)
+    }
+}
+
 impl Fleet {
     pub fn new(token: Token, rps: f64, now: Millis) -> Fleet {
         Fleet {
@@ -373,6 +424,8 @@
                     types: spec.types.clone(),
                     zone: spec.zone.clone(),
                     spot: spec.spot,
+                    estimate_s: super::placement::estimate(spec, env.cfg.ops.default_run_s),
+                    patience_s: env.cfg.ops.dear_patience * patience_s(spec, &env.cfg.settings),
                 });
             }
         }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -62,6 +62,8 @@
 pub struct Seat {
     pub free: Room,
     pub zone: usize,
+    /// Others need this kind of machine and this job does not.
+    pub spared: bool,
     /// Most tasks that may be put here now.
     pub cap: u32,
     /// What it would cost to have the image here.
@@ -97,8 +99,10 @@
 }
 
 /// Chooses seats for up to `want` tasks: pairs of seat and count, in the order of rank.
-/// The one exception to that order: machines that have the image, or are fetching it, go first,
-/// since a fetch often takes longer than the task; between equals the one that takes more goes first.
+/// Two exceptions to that order: machines that jobs with fewer choices need go last (as the paper's
+/// Balanced heuristic does with critical resources), and machines that have the image, or are
+/// fetching it, go first, since a fetch often takes longer than the task. Between equals the one
+/// that takes more goes first.
 pub fn place(
     task: Room,
     want: u32,
@@ -106,14 +110,14 @@
     weights: Room,
     zones: &mut ZoneRule,
 ) -> Vec<(usize, u32)> {
-    let mut order: Vec<(Image, f64, std::cmp::Reverse<u32>, usize)> = seats
+    let mut order: Vec<((bool, Image), f64, std::cmp::Reverse<u32>, usize)> = seats
         .iter()
         .enumerate()
         .filter(|(_, seat)| seat.cap > 0 && task.fits_in(seat.free))
         .map(|(i, seat)| {
             let fit = task.count_in(seat.free).min(want);
             let rank = rank(weights, seat.free, task, want);
-            (seat.image, rank, std::cmp::Reverse(fit), i)
+            ((seat.spared, seat.image), rank, std::cmp::Reverse(fit), i)
         })
         .collect();
     order.sort_by(|a, b| {
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -286,7 +286,11 @@
         for m in self.machines.values() {
             capacity += env.types.get(&m.model).map_or(0.0, |t| t.cpus);
             for item in &m.listed {
-                let room = self.jobs.get(&item.task.job).and_then(|j| j.spec()).map(|s| s.room);
+                let room = self
+                    .jobs
+                    .get(&item.task.job)
+                    .and_then(|j| j.spec())
+                    .map(|s| s.room);
                 let state = match item.state {
                     TaskState::Pulling => "pulling",
                     TaskState::Running => "running",
@@ -927,6 +931,7 @@
                         free: *free,
                         zone: m.zone,
                         cap,
+                        spared: spec.spot && !m.spot,
                         image: m.image(&spec.image),
                     }
                 })
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -19,6 +19,10 @@
     /// Share of the demand (running and waiting) that rented capacity is fitted to.
     #[schemars(range(min = 0.1, max = 4.0))]
     pub capacity_factor: f64,
+    /// Share of the time that a job's tasks may wait by the aims for which they wait for cheap
+    /// machines before dear ones are rented.
+    #[schemars(range(min = 0.0, max = 10.0))]
+    pub dear_patience: f64,
 }
 
 impl Default for OperatorSettings {
@@ -28,6 +32,7 @@
             idle_release_s: 30.0,
             hold_ms: 400,
             capacity_factor: 1.0,
+            dear_patience: 0.5,
         }
     }
 }
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -215,7 +215,7 @@
     ) {
         let task = Room { cpus: 2.0, gpus: 0.0, mem: 0.0 };
         let seats: Vec<Seat> = seats.into_iter().map(|(cpus, zone, cap, has_image)| Seat {
-            free: Room { cpus, gpus: 0.0, mem: 1.0 }, zone, cap,
+            free: Room { cpus, gpus: 0.0, mem: 1.0 }, zone, cap, spared: false,
             image: if has_image { Image::Cached } else { Image::Absent },
         }).collect();
         let mut zones = ZoneRule { together, most, ..ZoneRule::default() };
