--- a/src/operator.rs
+++ b/src/operator.rs
@@ -29,7 +29,7 @@
     fn default() -> Self {
         Self {
             default_run_s: 60.0,
-            idle_release_s: 30.0,
+            idle_release_s: 20.0,
             hold_ms: 400,
             capacity_factor: 1.0,
             dear_patience: 0.5,
