--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -5,6 +5,7 @@
 //! `w_k = (estimate-weighted mean request of queued jobs * booked / capacity) / capacity`.
 
 use crate::bookkeeping::records::{JobSpec, Room};
+use crate::settings::Objective;
 
 /// What the weights are worked out from.
 #[derive(Clone, Copy, Debug, Default)]
@@ -22,6 +23,22 @@
     }
 }
 
+/// The age in seconds beyond which starting a job's tasks can meet no aim for its class any more.
+pub fn hope_s(spec: &JobSpec, objectives: &[Objective]) -> f64 {
+    let aims = objectives
+        .iter()
+        .filter(|o| o.class.as_deref() == Some(spec.class.as_str()))
+        .filter_map(|o| match o.kind.as_str() {
+            "wait" => o.within_s,
+            "finished" => o.within_s.map(|w| w - spec.estimate_s),
+            _ => None,
+        });
+    // A deadline is the job's own, and its estimate often wrong: not past before it is past.
+    aims.chain(spec.deadline_s)
+        .reduce(f64::max)
+        .unwrap_or(f64::INFINITY)
+}
+
 /// The criticality of each resource.
 pub fn weights<'a>(queued: impl Iterator<Item = &'a JobSpec>, default_s: f64, load: Load) -> Room {
     let mut sum = Room::default();
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -849,15 +849,18 @@
             default_s,
             load,
         );
-        let mut order: Vec<(JobId, (std::cmp::Reverse<_>, u64))> = self
+        let objectives = &env.cfg.settings.deployment.objectives;
+        let mut order: Vec<(JobId, (std::cmp::Reverse<_>, bool, u64))> = self
             .jobs
             .iter()
             .filter(|(_, j)| waiting(j) && j.retry_at <= now && !j.reading)
             .filter_map(|(id, j)| {
                 let spec = j.spec()?;
+                let age_s = env.out.wall_ms.saturating_sub(j.spec.submitted.0) as f64 / 1000.0;
+                let late = age_s > placement::hope_s(spec, objectives);
                 Some((
                     id.clone(),
-                    (std::cmp::Reverse(spec.priority), j.spec.submitted.0),
+                    (std::cmp::Reverse(spec.priority), late, j.spec.submitted.0),
                 ))
             })
             .collect();
