--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -494,11 +494,11 @@
                 }
             });
         }
-        let mut free = self.peers.free_cpus(now);
-        free.extend(self.shards.values().map(|s| (s.part, s.free_cpus)));
+        let mut rooms = self.peers.rooms(now);
+        rooms.extend(self.shards.values().map(|s| (s.part, s.room())));
         let away = self.state_silent_ms() >= UNSERVED_MS;
         let mut gateway = std::mem::take(&mut self.gateway);
-        gateway.free = free;
+        gateway.rooms = rooms;
         if away {
             gateway.refuse_all(&mut self.env());
         } else {
@@ -573,6 +573,7 @@
             parts.push(PartHint {
                 part: shard.part.0,
                 free_cpus: shard.free_cpus,
+                capacity_cpus: shard.room().capacity,
                 waiting_cpus: shard.waiting_cpus,
                 heard: shard
                     .heard(now, 10_000)
--- a/src/coordination/gateway.rs
+++ b/src/coordination/gateway.rs
@@ -2,6 +2,7 @@
 //! controller said: only final states are answered without asking the state service.
 
 use super::env::{Env, ReadFor, Tag};
+use super::peers::PartRoom;
 use crate::bookkeeping::records::{
     Alloc, Grant, JobRecord, JobSpec, JobState, Kind, alloc_key, job_key,
 };
@@ -48,8 +49,8 @@
     cancels: HashMap<u64, Cancel>,
     cancel_tries: HashMap<ConnId, u32>,
     next: u64,
-    /// Free room by part, as far as known.
-    pub free: BTreeMap<PartId, f64>,
+    /// Room by part, as far as known.
+    pub rooms: BTreeMap<PartId, PartRoom>,
 }
 
 /// Why a job can never run here, if so.
@@ -94,9 +95,10 @@
     job: &JobId,
     spec: &JobSpec,
     parts: u32,
-    free: &BTreeMap<PartId, f64>,
+    rooms: &BTreeMap<PartId, PartRoom>,
 ) -> Vec<(PartId, Spans)> {
-    let room = |p: u32| free.get(&PartId(p)).copied().unwrap_or(0.0).max(0.0);
+    let known = |p: u32| rooms.get(&PartId(p)).copied().unwrap_or_default();
+    let room = |p: u32| known(p).free.max(0.0);
     let first = part_of(job.as_str(), parts).0;
     let ring = || (0..parts).map(move |i| (first + i) % parts);
     let whole = |p: u32| vec![(PartId(p), Spans::range(0, spec.tasks, 1))];
@@ -108,7 +110,8 @@
     let total: f64 = ring().map(|p| (room(p) / size).floor()).sum();
     let mut rest = spec.tasks;
     let mut counts: BTreeMap<u32, u32> = BTreeMap::new();
-    // What is free now is used in proportion; the rest is shared evenly.
+    // What is free now is used in proportion; the rest waits in proportion to what each part has,
+    // so that no queue is longer than the others.
     if total >= 1.0 {
         let now = f64::from(spec.tasks).min(total);
         for p in ring() {
@@ -118,6 +121,16 @@
             rest -= n;
         }
     }
+    let all: f64 = ring().map(|p| known(p).capacity).sum();
+    if all > 0.0 {
+        let waits = rest;
+        for p in ring() {
+            let n = (known(p).capacity / all * f64::from(waits)).round() as u32;
+            let n = n.min(rest);
+            *counts.entry(p).or_default() += n;
+            rest -= n;
+        }
+    }
     while rest > 0 {
         for p in ring() {
             if rest > 0 {
@@ -214,7 +227,7 @@
         let mut written = Vec::new();
         let mut bytes = 0;
         while let Some(accept) = self.queue.front() {
-            let mut shares = split(&accept.job, &accept.spec, env.cfg.parts, &self.free);
+            let mut shares = split(&accept.job, &accept.spec, env.cfg.parts, &self.rooms);
             if shares.len() + 1 > max_ops {
                 let (part, _) = shares[0];
                 shares = vec![(part, Spans::range(0, accept.spec.tasks, 1))];
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -10,6 +10,13 @@
 /// A member that has been up for so long takes its home part back.
 const SETTLED_MS: u64 = 3_000;
 
+/// The CPUs of a part's machines.
+#[derive(Clone, Copy, Default, Debug)]
+pub struct PartRoom {
+    pub free: f64,
+    pub capacity: f64,
+}
+
 #[derive(Default)]
 pub struct Peers {
     heard: BTreeMap<Member, (Millis, Hint)>,
@@ -57,11 +64,17 @@
             .collect()
     }
 
-    /// Free room by part, as last said by the owners.
-    pub fn free_cpus(&self, now: Millis) -> BTreeMap<PartId, f64> {
+    /// Room by part, as last said by the owners.
+    pub fn rooms(&self, now: Millis) -> BTreeMap<PartId, PartRoom> {
         self.fresh(now)
             .flat_map(|(_, h)| h.parts.iter())
-            .map(|p| (PartId(p.part), p.free_cpus))
+            .map(|p| {
+                let room = PartRoom {
+                    free: p.free_cpus,
+                    capacity: p.capacity_cpus,
+                };
+                (PartId(p.part), room)
+            })
             .collect()
     }
 
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -4,6 +4,7 @@
 //! commands has been committed first, and is commanded only inside answers to reports.
 
 use super::env::{CloudTag, Env, Tag};
+use super::peers::PartRoom;
 use super::placement::{self, Image, Load, Seat, ZoneRule};
 use crate::bookkeeping::records::{
     Alloc, Grant, JobRecord, JobSpec, JobState, Kind, QuotaRecord, Room, Step, StepKind, alloc_key,
@@ -158,6 +159,7 @@
     placed_at: Millis,
     told_at: Millis,
     pub free_cpus: f64,
+    capacity_cpus: f64,
     pub waiting_cpus: f64,
     /// Tasks wait that some machine here could run, were it empty.
     waiting_here: bool,
@@ -188,11 +190,19 @@
             placed_at: Millis(0),
             told_at: Millis(0),
             free_cpus: 0.0,
+            capacity_cpus: 0.0,
             waiting_cpus: 0.0,
             waiting_here: false,
         }
     }
 
+    pub fn room(&self) -> PartRoom {
+        PartRoom {
+            free: self.free_cpus,
+            capacity: self.capacity_cpus,
+        }
+    }
+
     pub fn knows(&self, job: &JobId) -> bool {
         self.jobs.contains_key(job)
     }
@@ -842,6 +852,7 @@
                 free.push(room);
             }
         }
+        self.capacity_cpus = load.capacity.cpus;
         let default_s = env.cfg.ops.default_run_s;
         let waiting = |j: &&ShardJob| !j.cancelled() && !j.view.waiting.is_empty();
         let weights = placement::weights(
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -29,4 +29,6 @@
     pub waiting_cpus: f64,
     #[prost(string, repeated, tag = "4")]
     pub heard: Vec<String>,
+    #[prost(double, tag = "5")]
+    pub capacity_cpus: f64,
 }
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -7,6 +7,7 @@
 use snowshelf::bookkeeping::spans::Spans;
 use snowshelf::coordination::gateway::split;
 use snowshelf::coordination::ownership::{Verdict, verdict};
+use snowshelf::coordination::peers::PartRoom;
 use snowshelf::coordination::placement::{Image, Seat, ZoneRule, place};
 use snowshelf::ids::{Attempt, JobId, MachineId, PartId, TaskNo, Token, Version};
 use snowshelf::protocol::user::parse_submission;
@@ -198,7 +199,7 @@
         let (id, mut spec) = parse_submission(submission().to_string().as_bytes()).unwrap();
         spec.tasks = tasks;
         spec.together = bound;
-        let free: BTreeMap<PartId, f64> = free.iter().enumerate().map(|(i, f)| (PartId(i as u32), *f)).collect();
+        let free: BTreeMap<PartId, PartRoom> = free.iter().enumerate().map(|(i, f)| (PartId(i as u32), PartRoom { free: *f, capacity: f * 1.5 })).collect();
         let shares = split(&id, &spec, 3, &free);
         let mut all = Spans::default();
         for (_, spans) in &shares {
