--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -861,7 +861,8 @@
             load,
         );
         let objectives = &env.cfg.settings.deployment.objectives;
-        let mut order: Vec<(JobId, (std::cmp::Reverse<_>, bool, u64))> = self
+        let within = within_guarantee(env);
+        let mut order: Vec<(JobId, (bool, std::cmp::Reverse<_>, bool, u64))> = self
             .jobs
             .iter()
             .filter(|(_, j)| waiting(j) && j.retry_at <= now && !j.reading)
@@ -871,7 +872,12 @@
                 let late = age_s > placement::hope_s(spec, objectives);
                 Some((
                     id.clone(),
-                    (std::cmp::Reverse(spec.priority), late, j.spec.submitted.0),
+                    (
+                        !within.contains(id),
+                        std::cmp::Reverse(spec.priority),
+                        late,
+                        j.spec.submitted.0,
+                    ),
                 ))
             })
             .collect();
@@ -1627,6 +1633,44 @@
     }
 }
 
+/// The jobs that fit into their team's guarantee together with the team's earlier unfinished ones.
+fn within_guarantee(env: &Env) -> HashSet<JobId> {
+    let mut open: Vec<(WallMs, &JobId, &JobSpec)> = env
+        .mirror
+        .jobs
+        .iter()
+        .filter(|(_, r)| r.value.state == JobState::Open)
+        .filter_map(|(id, r)| Some((r.value.submitted, id, r.value.spec.as_ref()?)))
+        .collect();
+    open.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
+    let mut left: HashMap<&str, Room> = env
+        .cfg
+        .settings
+        .deployment
+        .teams
+        .iter()
+        .map(|t| {
+            let room = Room {
+                cpus: t.cpus,
+                gpus: t.gpus,
+                mem: f64::MAX / 4.0,
+            };
+            (t.name.as_str(), room)
+        })
+        .collect();
+    let mut within = HashSet::new();
+    for (_, id, spec) in open {
+        if let Some(left) = left.get_mut(spec.team.as_str()) {
+            let whole = spec.room.times(f64::from(spec.tasks));
+            if whole.fits_in(*left) {
+                within.insert(id.clone());
+            }
+            left.sub(whole);
+        }
+    }
+    within
+}
+
 fn requeue(machine: &MachineId, task: TaskNo, attempt: Attempt) -> Step {
     Step {
         task,
