--- a/src/coordination/gateway.rs
+++ b/src/coordination/gateway.rs
@@ -157,6 +157,7 @@
         let (job, spec) = match user::parse_submission(body) {
             Ok(parsed) => parsed,
             Err(error) => {
+                tracing::info!(%error, "submission is malformed");
                 let body = user::error(&error.to_string());
                 env.out.respond(conn, Response::new(400, body));
                 return;
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -1207,7 +1207,6 @@
             return;
         }
         let used = self.used();
-        let parts = f64::from(env.cfg.parts);
         for limits in &env.cfg.settings.deployment.teams {
             let team = Team::new(&limits.name);
             if self.quota.get(&team).is_some_and(|q| q.retry_at > now) {
@@ -1233,12 +1232,13 @@
                 None => durable,
             };
             if others_short.contains(&team) {
-                // Another part could start more: keep what is used and, if this part waits too,
-                // an equal share.
+                // Another part could start more: keep what is used and, if this part waits too, a
+                // share by demand. With other shares one part's tasks of a job lag behind the rest.
+                let share = demand_share(&team, self.part, env);
                 let fair = match short {
                     Some(lack) => Grant {
-                        cpus: (limit.cpus / parts).min(used.cpus + lack.cpus),
-                        gpus: (limit.gpus / parts).min(used.gpus + lack.gpus),
+                        cpus: (limit.cpus * share).min(used.cpus + lack.cpus),
+                        gpus: (limit.gpus * share).min(used.gpus + lack.gpus),
                     },
                     None => Grant::default(),
                 };
@@ -1671,6 +1671,31 @@
     within
 }
 
+/// This part's share of what a team's jobs have unfinished, over all parts.
+fn demand_share(team: &Team, part: PartId, env: &Env) -> f64 {
+    let (mut mine, mut all) = (0.0, 0.0);
+    for ((p, id), alloc) in &env.mirror.allocs {
+        let Some(record) = env.mirror.jobs.get(id) else {
+            continue;
+        };
+        if let (JobState::Open, Some(spec)) = (record.value.state, &record.value.spec)
+            && spec.team == *team
+        {
+            let tasks = alloc.value.waiting.len() + alloc.value.started_count();
+            let cpus = spec.room.cpus * f64::from(tasks);
+            all += cpus;
+            if *p == part {
+                mine += cpus;
+            }
+        }
+    }
+    if all > 0.0 {
+        mine / all
+    } else {
+        1.0 / f64::from(env.cfg.parts)
+    }
+}
+
 fn requeue(machine: &MachineId, task: TaskNo, attempt: Attempt) -> Step {
     Step {
         task,
