Machines missing from the cloud's list and silent are returned early; tests of decisions

The leader hints at names that leave the list or failed; with two reports of silence the owner returns the machine and the confirmed return is the proof.

--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -484,11 +484,13 @@
         self.check_held();
         let fresh = self.own.fresh(now);
         let short: BTreeSet<Team> = self.peers.short_of(now);
+        let mut missing = self.peers.missing(now);
+        missing.extend(self.fleet.iter().flat_map(|f| f.missing.keys().cloned()));
         let answers = self.may_answer();
         let parts: Vec<PartId> = self.shards.keys().copied().collect();
         for part in parts {
             self.with_shard(part, |shard, env| {
-                shard.tick(fresh, &short, env);
+                shard.tick(fresh, &short, &missing, env);
                 if !answers {
                     shard.drop_held(env);
                 }
@@ -587,6 +589,11 @@
             up_ms: now.since(self.started),
             parts,
             short_of: short_of.into_iter().collect(),
+            missing: self
+                .fleet
+                .iter()
+                .flat_map(|f| f.missing.keys().map(|m| m.as_str().to_string()))
+                .collect(),
         };
         for member in &self.cfg.members {
             if *member != self.cfg.me {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -49,6 +49,8 @@
     since: Millis,
     releasing: bool,
     have_list: bool,
+    /// Listed once and not in the newest list, or listed as failed.
+    pub missing: BTreeMap<MachineId, Millis>,
 }
 
 /// A group of equal tasks that want room.
@@ -213,6 +215,7 @@
             since: now,
             releasing: false,
             have_list: false,
+            missing: BTreeMap::new(),
         }
     }
 
@@ -335,6 +338,18 @@
         let found = self.listing.take().map(|l| l.1).unwrap_or_default();
         let lag = 2 * seconds_to_ms(env.cfg.settings.deployment.cloud.list_lag_s) + 3_000;
         self.returned.retain(|_, at| now.since(*at) < 10 * lag);
+        let seen: BTreeSet<&MachineId> = found
+            .iter()
+            .filter(|l| l.state != ListedState::Failed)
+            .map(|l| &l.machine)
+            .collect();
+        // Once listed, a machine stays listed until it is gone, but a list may be older than the
+        // one before: only a suspicion, taken back when the machine shows up again.
+        for name in self.listed.keys().filter(|n| !seen.contains(n)) {
+            self.missing.entry(name.clone()).or_insert(now);
+        }
+        self.missing
+            .retain(|name, at| !seen.contains(name) && now.since(*at) < 10 * lag);
         self.listed = found
             .into_iter()
             .filter(|l| !self.returned.contains_key(&l.machine))
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -1,7 +1,7 @@
 //! What the other controllers say. Hints only: no rule depends on them.
 
 use super::env::Config;
-use crate::ids::{Member, Millis, PartId, Team};
+use crate::ids::{MachineId, Member, Millis, PartId, Team};
 use crate::protocol::peer::Hint;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -78,6 +78,12 @@
             .collect()
     }
 
+    pub fn missing(&self, now: Millis) -> BTreeSet<MachineId> {
+        self.fresh(now)
+            .flat_map(|(_, h)| h.missing.iter().map(|m| MachineId::new(m)))
+            .collect()
+    }
+
     pub fn heard_machines(&self, now: Millis) -> BTreeSet<String> {
         self.fresh(now)
             .flat_map(|(_, h)| h.parts.iter())
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -1451,7 +1451,7 @@
 
     // ---- machines ------------------------------------------------------------------------
 
-    fn tend_machines(&mut self, env: &mut Env) {
+    fn tend_machines(&mut self, missing: &BTreeSet<MachineId>, env: &mut Env) {
         let now = env.now();
         let lease_ms = env.cfg.settings.lease_ms();
         let report_ms = env.cfg.settings.report_ms();
@@ -1473,7 +1473,9 @@
             }
             let silent = now.since(m.heard);
             let noticed = m.notice_until.is_some_and(|u| u < now);
-            let limit = if noticed {
+            // Silence alone is no proof, nor is a missing name; both together make it likely enough
+            // to return the machine, and only the confirmed return frees its tasks.
+            let limit = if noticed || missing.contains(&name) {
                 2 * report_ms
             } else {
                 lease_ms + 2 * report_ms
@@ -1544,7 +1546,13 @@
     }
 
     /// The regular work; `fresh` says whether this owner's lease is known to hold.
-    pub fn tick(&mut self, fresh: bool, others_short: &BTreeSet<Team>, env: &mut Env) {
+    pub fn tick(
+        &mut self,
+        fresh: bool,
+        others_short: &BTreeSet<Team>,
+        missing: &BTreeSet<MachineId>,
+        env: &mut Env,
+    ) {
         self.activate(env);
         if !self.ready || self.deposed {
             return;
@@ -1561,7 +1569,7 @@
         self.flush(env, false);
         self.claim(env);
         self.tend_quota(others_short, env);
-        self.tend_machines(env);
+        self.tend_machines(missing, env);
         if now.since(self.told_at) >= 10_000 {
             self.told_at = now;
             self.tell(env);
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -16,6 +16,9 @@
     /// Teams that this controller could start more of, had it more of their limit.
     #[prost(string, repeated, tag = "5")]
     pub short_of: Vec<String>,
+    /// Machines that the leader misses in the cloud's list, or sees failed there.
+    #[prost(string, repeated, tag = "6")]
+    pub missing: Vec<String>,
 }
 
 /// What an owner says of its part.
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,199 @@
+//! Decisions as pure functions, each test named after the failure it guards against.
+
+use snowshelf::bookkeeping::records::{JobSpec, Room};
+use snowshelf::bookkeeping::store::Bucket;
+use snowshelf::coordination::fleet::{Have, Pool, Want, plan};
+use snowshelf::coordination::gateway::split;
+use snowshelf::coordination::peers::PartRoom;
+use snowshelf::coordination::placement::{Image, Load, Seat, ZoneRule, hope_s, place, weights};
+use snowshelf::ids::{Millis, PartId};
+use snowshelf::protocol::cloud::MachineType;
+use snowshelf::protocol::user::parse_submission;
+use snowshelf::settings::Objective;
+use std::collections::{BTreeMap, BTreeSet};
+
+fn spec(deadline: Option<f64>) -> JobSpec {
+    let body = serde_json::json!({"Ref":"wk-1","Lote":"tally","Cuadrilla":"red","Feitio":"batch",
+        "Precedencia":"high","Tarefas":30,"Cpus":2.0,"Gpus":0.0,"MemGb":4.0,"Matriz":"i","PullGb":1.0,
+        "Modelos":null,"Parcela":null,"Together":false,"Apart":false,"Avulsas":true,
+        "PrevisaoS":10.0,"MarcoS":0.0,"GuardaS":0.0,"PrazoS":deadline});
+    parse_submission(body.to_string().as_bytes()).unwrap().1
+}
+
+fn machine_type(label: &str, cpus: f64, hourly: f64, spot: Option<f64>) -> (String, MachineType) {
+    let t = MachineType {
+        label: label.into(),
+        cpus,
+        gpus: 0.0,
+        mem: 4.0 * cpus,
+        fetch_gb_per_s: 0.1,
+        hourly,
+        spot_price: spot,
+        ready_s: 30.0,
+        zones: vec!["a".into()],
+    };
+    (label.into(), t)
+}
+
+fn want(tasks: u32, spot: bool) -> Want {
+    Want {
+        room: Room {
+            cpus: 2.0,
+            gpus: 0.0,
+            mem: 4.0,
+        },
+        tasks,
+        types: None,
+        zone: None,
+        spot,
+        estimate_s: 10.0,
+        patience_s: 20.0,
+    }
+}
+
+fn pool(spot: bool) -> Pool {
+    Pool {
+        model: "s".into(),
+        zone: "a".into(),
+        spot,
+    }
+}
+
+/// Guards against renting dear machines for a backlog that cheap ones clear in time.
+#[test]
+fn dear_machines_are_rented_only_for_what_would_wait_too_long() {
+    let types: BTreeMap<_, _> = [machine_type("s", 8.0, 0.8, Some(0.2))].into();
+    let have = || {
+        (0..4)
+            .map(|_| Have {
+                pool: pool(true),
+                free: Room {
+                    cpus: 8.0,
+                    gpus: 0.0,
+                    mem: 32.0,
+                },
+            })
+            .collect::<Vec<_>>()
+    };
+    let no_spot: BTreeSet<Pool> = [pool(true)].into();
+    // 32 CPUs clear 16 tasks at once and 4 more within seconds: nothing dear.
+    assert!(plan(&[want(20, true)], have(), &types, &no_spot).is_empty());
+    // Six hundred tasks of ten seconds would wait for minutes.
+    assert!(plan(&[want(600, true)], have(), &types, &no_spot).contains_key(&pool(false)));
+    // While cheap ones are to be had, they are rented at once and the dear ones are not.
+    let rent = plan(&[want(600, true)], have(), &types, &BTreeSet::new());
+    assert!(rent.contains_key(&pool(true)) && !rent.contains_key(&pool(false)));
+    // A job that may not use spot machines has no cheaper choice.
+    let rent = plan(&[want(8, false)], have(), &types, &BTreeSet::new());
+    assert_eq!(rent, [(pool(false), 2)].into());
+}
+
+/// Guards against a burst in which only jobs that have missed everything are served.
+#[test]
+fn a_job_is_past_hope_after_its_last_aim() {
+    let aim = |kind: &str, within: f64| Objective {
+        kind: kind.into(),
+        class: Some("tally".into()),
+        within_s: Some(within),
+        share: Some(0.9),
+    };
+    let aims = [aim("wait", 40.0), aim("wait", 80.0), aim("finished", 100.0)];
+    assert_eq!(hope_s(&spec(None), &aims), 90.0);
+    assert_eq!(hope_s(&spec(Some(300.0)), &aims), 300.0);
+    assert_eq!(hope_s(&spec(None), &[]), f64::INFINITY);
+}
+
+/// Guards against queues of equal length before parts of unequal size.
+#[test]
+fn what_waits_is_split_by_capacity() {
+    let rooms: BTreeMap<PartId, PartRoom> = [(0, 20.0), (1, 60.0), (2, 20.0)]
+        .map(|(p, capacity)| {
+            (
+                PartId(p),
+                PartRoom {
+                    free: 0.0,
+                    capacity,
+                },
+            )
+        })
+        .into();
+    let shares = split(&snowshelf::ids::JobId::new("wk-1"), &spec(None), 3, &rooms);
+    let counts: BTreeMap<u32, u32> = shares.iter().map(|(p, s)| (p.0, s.len())).collect();
+    assert_eq!(counts, [(0, 6), (1, 18), (2, 6)].into());
+}
+
+/// Equation 1 of the paper: a resource that is asked for, booked and scarce weighs more.
+#[test]
+fn weights_follow_the_paper() {
+    let load = Load {
+        booked: Room {
+            cpus: 8.0,
+            gpus: 0.0,
+            mem: 10.0,
+        },
+        capacity: Room {
+            cpus: 16.0,
+            gpus: 0.0,
+            mem: 100.0,
+        },
+    };
+    let s = spec(None);
+    let w = weights([&s].into_iter(), 60.0, load);
+    assert!((w.cpus - 2.0 * 0.5 / 16.0).abs() < 1e-12);
+    assert!((w.mem - 4.0 * 0.1 / 100.0).abs() < 1e-12);
+    assert_eq!(w.gpus, 0.0);
+}
+
+#[test]
+fn seats_go_by_price_then_image_then_rank() {
+    let seat = |cpus: f64, spared: bool, image: Image| Seat {
+        free: Room {
+            cpus,
+            gpus: 0.0,
+            mem: 64.0,
+        },
+        zone: 0,
+        spared,
+        cap: 99,
+        image,
+    };
+    let seats = [
+        seat(2.0, true, Image::Cached),
+        seat(8.0, false, Image::Absent),
+        seat(8.0, false, Image::Cached),
+        seat(4.0, false, Image::Cached),
+    ];
+    let w = Room {
+        cpus: 1.0,
+        gpus: 0.0,
+        mem: 0.0,
+    };
+    let task = Room {
+        cpus: 2.0,
+        gpus: 0.0,
+        mem: 1.0,
+    };
+    let chosen = place(task, 2, &seats, w, &mut ZoneRule::default());
+    // The seat that is filled exactly comes first.
+    assert_eq!(chosen, vec![(3, 2)]);
+    let order: Vec<usize> = place(task, 99, &seats, w, &mut ZoneRule::default())
+        .iter()
+        .map(|c| c.0)
+        .collect();
+    assert_eq!(order[3], 0);
+    assert_eq!(order[2], 1);
+}
+
+/// Guards against a budget that low-ranking requests use up before leases are renewed.
+#[test]
+fn a_reserve_keeps_room_for_what_matters_more() {
+    let mut bucket = Bucket::new(10.0);
+    let mut polls = 0;
+    while bucket.has(Millis(0), 1.0, 0.3) {
+        bucket.take(1.0);
+        polls += 1;
+    }
+    assert_eq!(polls, 7);
+    assert!(bucket.has(Millis(0), 1.0, 0.0));
+    assert!(!bucket.has(Millis(0), 1.0, 0.3) && bucket.has(Millis(100), 1.0, 0.3));
+}
