--- a/src/coordination/env.rs
+++ b/src/coordination/env.rs
@@ -41,6 +41,8 @@
 pub enum ReadFor {
     Poll,
     Resubmit,
+    /// A submission that can never run, unless the job was accepted before; the reason.
+    Refuse(&'static str),
     Cancel,
 }
 
--- a/src/coordination/gateway.rs
+++ b/src/coordination/gateway.rs
@@ -177,7 +177,9 @@
         if !env.mirror.jobs.contains_key(&job)
             && let Some(why) = never_runs(&spec, env)
         {
-            env.out.respond(conn, Response::new(422, user::error(why)));
+            // Guards against forgetting a job that was accepted under other limits: only the state
+            // service knows that it was not.
+            self.read(conn, &job, ReadFor::Refuse(why), env);
             return;
         }
         if let Some(same) = self.queue.iter_mut().find(|a| a.job == job) {
@@ -338,7 +340,7 @@
         }
         let class = match why {
             ReadFor::Poll => Class::Reads,
-            ReadFor::Resubmit | ReadFor::Cancel => Class::Accept,
+            ReadFor::Resubmit | ReadFor::Refuse(_) | ReadFor::Cancel => Class::Accept,
         };
         if !env.store.may(env.now(), class, 0) {
             let later = Response::later(503, "too many requests", 1);
@@ -364,7 +366,7 @@
                 let done = if state == JobState::Done { tasks } else { 0 };
                 user::full(job, word, done, 0)
             }
-            ReadFor::Resubmit | ReadFor::Cancel => user::brief(job, word),
+            ReadFor::Resubmit | ReadFor::Refuse(_) | ReadFor::Cancel => user::brief(job, word),
         };
         self.cancel_tries.remove(&conn);
         env.out.respond(conn, Response::new(200, body));
@@ -382,8 +384,12 @@
             GetResult::Found(item) => item,
             GetResult::Missing(_) => {
                 self.cancel_tries.remove(&conn);
-                let body = user::error("no such job");
-                env.out.respond(conn, Response::new(404, body));
+                let (status, text) = match why {
+                    ReadFor::Refuse(why) => (422, why),
+                    _ => (404, "no such job"),
+                };
+                env.out
+                    .respond(conn, Response::new(status, user::error(text)));
                 return;
             }
             GetResult::Failed => {
@@ -404,7 +410,7 @@
             return;
         }
         match why {
-            ReadFor::Poll | ReadFor::Resubmit => {
+            ReadFor::Poll | ReadFor::Resubmit | ReadFor::Refuse(_) => {
                 let (done, running) = env.mirror.counts(job, &record.parts, record.tasks);
                 let word = user::state_word(record.state, running);
                 let body = match why {
