--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -81,25 +81,6 @@
         }
     }
 
-    /// The version at which `key` is known to stand; 0 if it is not there.
-    pub fn version_of(&self, key: &str) -> Version {
-        if let Some(rest) = key.strip_prefix("job/") {
-            return self
-                .jobs
-                .get(&JobId::new(rest))
-                .map(|v| v.version)
-                .unwrap_or_default();
-        }
-        if let Some((part, job)) = split_alloc(key) {
-            return self
-                .allocs
-                .get(&(part, job))
-                .map(|v| v.version)
-                .unwrap_or_default();
-        }
-        Version(0)
-    }
-
     /// Takes in one key's state (`None`: deleted) as of `version`; older news change nothing.
     pub fn apply(&mut self, key: &str, value: Option<&Value>, version: Version) -> Option<Changed> {
         match self.versions.get(key) {
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -587,6 +587,7 @@
             member: self.cfg.me.as_str().to_string(),
             state_silent_ms: self.state_silent_ms(),
             up_ms: now.since(self.started),
+            feed_silent_ms: now.since(self.reader.feed_at),
             parts,
             short_of: short_of.into_iter().collect(),
             missing: self
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -49,7 +49,11 @@
     pub fn up_homes(&self, now: Millis, cfg: &Config) -> BTreeSet<PartId> {
         let up: BTreeSet<&Member> = self
             .fresh(now)
-            .filter(|(_, h)| h.up_ms >= SETTLED_MS && h.state_silent_ms < 1_500)
+            // Guards against giving a part to a home that does not see it being given: others would
+            // take it, and give it again, every second.
+            .filter(|(_, h)| {
+                h.up_ms >= SETTLED_MS && h.state_silent_ms < 1_500 && h.feed_silent_ms < SETTLED_MS
+            })
             .map(|(m, _)| m)
             .collect();
         (0..cfg.parts)
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -9,7 +9,8 @@
 
 /// The least time between two openings of the feed, so that a burst of changes shares one answer.
 const FEED_GAP_MS: u64 = 90;
-const FEED_WAIT_MS: u64 = 10_000;
+/// A feed opened before this controller was refused may hang; it is opened anew this often.
+const FEED_WAIT_MS: u64 = 2_000;
 
 #[derive(Default)]
 pub struct Reader {
@@ -18,6 +19,7 @@
     /// A full reading underway: the revision of its first page, and the keys found.
     reading: Option<(Option<Version>, HashSet<String>, String)>,
     opened: bool,
+    /// When the change feed last answered.
     pub feed_at: Millis,
 }
 
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -117,7 +117,6 @@
     coming: HashSet<String>,
     /// Jobs whose tasks failed here since a task last completed here.
     error_streak: Vec<JobId>,
-    completed: u32,
     draining: bool,
     returning: bool,
     full_until: Millis,
@@ -504,7 +503,6 @@
                     self.step(now, job, step(what));
                     if let Some(m) = self.machines.get_mut(name) {
                         m.error_streak.clear();
-                        m.completed += 1;
                     }
                     if let Some(j) = self.jobs.get_mut(job) {
                         j.failures = 0;
@@ -1633,7 +1631,6 @@
             images: HashSet::new(),
             coming: HashSet::new(),
             error_streak: Vec::new(),
-            completed: 0,
             draining: false,
             returning: false,
             full_until: Millis(0),
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -19,6 +19,9 @@
     /// Machines that the leader misses in the cloud's list, or sees failed there.
     #[prost(string, repeated, tag = "6")]
     pub missing: Vec<String>,
+    /// How long ago the change feed last answered this controller.
+    #[prost(uint64, tag = "7")]
+    pub feed_silent_ms: u64,
 }
 
 /// What an owner says of its part.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -197,3 +197,41 @@
     assert!(bucket.has(Millis(0), 1.0, 0.0));
     assert!(!bucket.has(Millis(0), 1.0, 0.3) && bucket.has(Millis(100), 1.0, 0.3));
 }
+
+/// Guards against a part that wandered between two controllers for eight seconds, each giving it
+/// to its home, which was served again but whose change feed still hung (inc-4276).
+#[test]
+fn a_part_goes_home_only_to_a_member_that_sees_it_given() {
+    use snowshelf::coordination::env::Config;
+    use snowshelf::coordination::peers::Peers;
+    use snowshelf::protocol::peer::Hint;
+    let settings = snowshelf::settings::Settings::parse(
+        "member = \"a\"\nserve_on = \"10.0.0.1:1\"\npeer_listen = \"10.0.0.1:2\"\n\
+         [[peers]]\nmember = \"b\"\naddress = \"10.0.0.2:2\"\n\
+         [outside]\ncloud = \"10.0.0.9:1\"\nstate = \"10.0.0.9:2\"\n[deployment]\nnodes = 2\n\
+         [deployment.workers]\nreport_s = 1.0\nlease_s = 10.0\ncancel_s = 9.0\n\
+         [deployment.state]\nrps = 9.0\nwrite_rps = 9.0\nvalue_kb = 9.0\ntxn_ops = 9\n\
+         [deployment.cloud]\nrps = 2.0\n[deployment.limits]\nmem_mb = 99.0\nsockets = 99\n",
+    )
+    .unwrap();
+    let cfg = Config {
+        me: snowshelf::ids::Member::new("a"),
+        members: settings.members(),
+        parts: 2,
+        settings,
+        ops: snowshelf::operator::OperatorSettings::default(),
+    };
+    let hint = |feed_silent_ms| Hint {
+        member: "b".into(),
+        up_ms: 60_000,
+        feed_silent_ms,
+        ..Hint::default()
+    };
+    let mut peers = Peers::default();
+    peers.take(Millis(1), hint(9_000), &cfg);
+    assert!(peers.up_homes(Millis(2), &cfg).is_empty());
+    peers.take(Millis(3), hint(100), &cfg);
+    assert_eq!(peers.up_homes(Millis(4), &cfg), [PartId(1)].into());
+    // A hint that is old says nothing.
+    assert!(peers.up_homes(Millis(9_000), &cfg).is_empty());
+}
