--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -127,7 +127,7 @@
     weights: Room,
     zones: &mut ZoneRule,
 ) -> Vec<(usize, u32)> {
-    let mut order: Vec<((bool, Image), f64, std::cmp::Reverse<u32>, usize)> = seats
+    let mut order: Vec<_> = seats
         .iter()
         .enumerate()
         .filter(|(_, seat)| seat.cap > 0 && task.fits_in(seat.free))
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -860,7 +860,7 @@
         );
         let objectives = &env.cfg.settings.deployment.objectives;
         let within = within_guarantee(env);
-        let mut order: Vec<(JobId, (bool, std::cmp::Reverse<_>, bool, u64))> = self
+        let mut order: Vec<(JobId, _)> = self
             .jobs
             .iter()
             .filter(|(_, j)| waiting(j) && j.retry_at <= now && !j.reading)
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -18,6 +18,29 @@
     }
 }
 
+/// The name of the field on the line at `offset`, with the table that it stands in.
+fn field_at(text: &str, offset: usize) -> Option<String> {
+    let start = text.get(..offset)?.rfind('\n').map_or(0, |at| at + 1);
+    let line = text.get(start..)?.lines().next()?.trim();
+    let table = |line: &str| {
+        line.starts_with('[')
+            .then(|| line.trim_matches(['[', ']']).to_string())
+    };
+    if let Some(table) = table(line) {
+        return Some(table);
+    }
+    let (key, _) = line.split_once('=')?;
+    let above = text
+        .get(..start)?
+        .lines()
+        .rev()
+        .find_map(|l| table(l.trim()));
+    Some(match above {
+        Some(above) => format!("{above}.{}", key.trim()),
+        None => key.trim().to_string(),
+    })
+}
+
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
     pub member: String,
@@ -123,12 +146,8 @@
 impl Settings {
     pub fn parse(text: &str) -> Result<Settings, SettingsError> {
         let settings: Settings = toml::from_str(text).map_err(|e| {
-            let at = e
-                .span()
-                .and_then(|s| text.get(s))
-                .map(|s| s.lines().next().unwrap_or("").to_string())
-                .unwrap_or_default();
-            bad("settings", format!("{} (at `{at}`)", e.message()))
+            let field = e.span().and_then(|span| field_at(text, span.start));
+            bad(field.as_deref().unwrap_or("settings"), e.message())
         })?;
         settings.validate()?;
         Ok(settings)
