--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -54,6 +54,10 @@
         let state = &settings.deployment.state;
         let store = Store::new(BUDGET * state.rps / nodes, BUDGET * state.write_rps / nodes);
         let cloud = CloudClient::new(OWNER_CLOUD * settings.deployment.cloud.rps);
+        let seed = settings
+            .member
+            .bytes()
+            .fold(now.0, |a, b| a.wrapping_mul(31) + u64::from(b));
         let cfg = Config {
             me: Member::new(&settings.member),
             members: settings.members(),
@@ -63,7 +67,7 @@
         };
         Controller {
             cfg,
-            out: Outbox::default(),
+            out: Outbox::new(seed),
             store,
             cloud,
             mirror: Mirror::default(),
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -3,7 +3,7 @@
 use super::env::{CloudClient, CloudTag, Env};
 use crate::bookkeeping::records::{JobSpec, JobState, Room};
 use crate::ids::{MachineId, Millis, Token, seconds_to_ms};
-use crate::outbox::{CallResult, Method};
+use crate::outbox::{CallResult, Method, Outbox};
 use crate::protocol::cloud::{
     ListAnswer, Listed, ListedState, MachineType, RentAnswer, TypesAnswer, rent_body,
 };
@@ -24,6 +24,7 @@
     body: Vec<u8>,
     underway: bool,
     retry_at: Millis,
+    failures: u32,
 }
 
 struct Rented {
@@ -305,7 +306,7 @@
                 }
             },
             CloudTag::List => self.listing = None,
-            CloudTag::Rent(name) => self.rent_done(&name, status, body, now),
+            CloudTag::Rent(name) => self.rent_done(&name, status, body, env.out),
             CloudTag::FleetRelease(names) => {
                 self.releasing = false;
                 if status == 200 {
@@ -361,7 +362,8 @@
         self.have_list = true;
     }
 
-    fn rent_done(&mut self, name: &str, status: u16, body: &[u8], now: Millis) {
+    fn rent_done(&mut self, name: &str, status: u16, body: &[u8], out: &mut Outbox) {
+        let now = out.now;
         let Some(rent) = self.rents.get_mut(name) else {
             return;
         };
@@ -397,7 +399,10 @@
                 self.rents.remove(name);
             }
             // Repeated under the same name: carried out or not, it rents once.
-            _ => rent.retry_at = now.plus(1_500),
+            _ => {
+                rent.retry_at = out.retry_at(1_000, rent.failures);
+                rent.failures += 1;
+            }
         }
     }
 
@@ -491,6 +496,7 @@
                     body,
                     underway: false,
                     retry_at: now,
+                    failures: 0,
                 },
             );
             if self.rents.len() >= 8 {
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -19,6 +19,7 @@
     /// A full reading underway: the revision of its first page, and the keys found.
     reading: Option<(Option<Version>, HashSet<String>, String)>,
     opened: bool,
+    failures: u32,
     /// When the change feed last answered.
     pub feed_at: Millis,
 }
@@ -49,9 +50,9 @@
 
     pub fn page(&mut self, page: Option<Page>, env: &mut Env) -> Vec<Changed> {
         self.busy = false;
-        let now = env.now();
         let Some(page) = page else {
-            self.next_at = now.plus(200);
+            self.next_at = env.out.retry_at(150, self.failures.min(3));
+            self.failures += 1;
             return Vec::new();
         };
         let Some((first, found, after)) = &mut self.reading else {
@@ -84,6 +85,7 @@
         match result {
             Ok(changes) => {
                 self.feed_at = now;
+                self.failures = 0;
                 let mut changed = Vec::new();
                 for entry in &changes.log {
                     if let Some(key) = &entry.write {
@@ -103,7 +105,8 @@
                     tracing::info!("the change feed is too far behind: reading everything again");
                     self.opened = false;
                 }
-                self.next_at = now.plus(300);
+                self.next_at = env.out.retry_at(200, self.failures.min(2));
+                self.failures += 1;
                 Vec::new()
             }
         }
--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -145,6 +145,8 @@
     gone_order: VecDeque<MachineId>,
     next_step: u64,
     flight: Option<Flight>,
+    /// Writes in a row that were not carried out.
+    refusals: u32,
     retry_at: Millis,
     claiming: bool,
     claim_at: Millis,
@@ -178,6 +180,7 @@
             gone_order: VecDeque::new(),
             next_step: 0,
             flight: None,
+            refusals: 0,
             retry_at: Millis(0),
             claiming: false,
             claim_at: Millis(0),
@@ -1107,6 +1110,7 @@
         }
         match result {
             TxnResult::Done(revision) => {
+                self.refusals = 0;
                 for (id, last, alloc, record) in flight.jobs {
                     if let Some(job) = self.jobs.get_mut(&id) {
                         job.unsettled = false;
@@ -1138,7 +1142,8 @@
                 }
             }
             TxnResult::NotDone | TxnResult::NoLease => {
-                self.retry_at = now.plus(200);
+                self.retry_at = env.out.retry_at(150, self.refusals.min(3));
+                self.refusals += 1;
             }
             TxnResult::Unknown => {
                 tracing::info!(part = %self.part, jobs = flight.jobs.len(), "write without answer: reading back");
--- a/src/outbox.rs
+++ b/src/outbox.rs
@@ -2,6 +2,8 @@
 
 use crate::ids::{CallId, ConnId, Member, Millis};
 use crate::protocol::peer::Hint;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use std::net::SocketAddrV4;
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -85,15 +87,37 @@
 }
 
 /// Collects outputs while an input is worked on.
-#[derive(Default)]
 pub struct Outbox {
+    rng: SmallRng,
     pub now: Millis,
     pub wall_ms: u64,
     next_call: u64,
     pub outputs: Vec<Output>,
 }
 
+/// The longest pause between tries, whatever came before.
+const LONGEST_PAUSE_MS: u64 = 4_000;
+
 impl Outbox {
+    /// `seed` only spreads the controllers' pauses; nothing else depends on chance.
+    pub fn new(seed: u64) -> Outbox {
+        Outbox {
+            rng: SmallRng::seed_from_u64(seed),
+            now: Millis(0),
+            wall_ms: 0,
+            next_call: 0,
+            outputs: Vec::new(),
+        }
+    }
+
+    /// When to try again after `failures` in a row: pauses double from `first_ms`, and are drawn
+    /// from half to one and a half of that, so that controllers do not come back in step.
+    pub fn retry_at(&mut self, first_ms: u64, failures: u32) -> Millis {
+        let pause = (first_ms << failures.min(6)).min(LONGEST_PAUSE_MS.max(first_ms));
+        let drawn = self.rng.random_range(pause / 2..=pause + pause / 2);
+        self.now.plus(drawn)
+    }
+
     pub fn call(
         &mut self,
         target: Target,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -235,3 +235,18 @@
     // A hint that is old says nothing.
     assert!(peers.up_homes(Millis(9_000), &cfg).is_empty());
 }
+
+/// Guards against controllers that come back to a service in step after it was away.
+#[test]
+fn pauses_between_tries_grow_and_differ() {
+    use snowshelf::outbox::Outbox;
+    let (mut a, mut b) = (Outbox::new(1), Outbox::new(2));
+    let draws: Vec<(u64, u64)> = (0..8)
+        .map(|n| (a.retry_at(200, n).0, b.retry_at(200, n).0))
+        .collect();
+    for (n, (x, _)) in draws.iter().enumerate() {
+        let pause = (200u64 << n.min(6)).min(4_000);
+        assert!((pause / 2..=pause * 3 / 2).contains(x));
+    }
+    assert!(draws.iter().any(|(x, y)| x != y));
+}
