--- a/src/coordination/shard.rs
+++ b/src/coordination/shard.rs
@@ -154,7 +154,8 @@
     quota_flight: Option<(Team, QuotaRecord)>,
     /// Teams for which placement lacked grant in the last pass.
     pub short_of: BTreeMap<Team, Grant>,
-    releasing: Option<()>,
+    /// A return is underway.
+    releasing: bool,
     /// Something changed that placement may use.
     dirty: bool,
     placed_at: Millis,
@@ -187,7 +188,7 @@
             quota: HashMap::new(),
             quota_flight: None,
             short_of: BTreeMap::new(),
-            releasing: None,
+            releasing: false,
             dirty: true,
             placed_at: Millis(0),
             told_at: Millis(0),
@@ -429,13 +430,9 @@
             self.settle(&name, now, env);
         }
         self.place(env);
-        let waits = self.jobs.values().any(|j| {
-            j.view
-                .started
-                .get(&name)
-                .is_some_and(|v| j.durable.started.get(&name) != Some(v))
-        });
-        let waits = waits && shown && self.machines.get(&name).is_some_and(|m| !m.returning);
+        let waits = self.awaits_commit(&name)
+            && shown
+            && self.machines.get(&name).is_some_and(|m| !m.returning);
         if waits && env.cfg.ops.hold_ms > 0 {
             if let Some(machine) = self.machines.get_mut(&name) {
                 machine.held = Some((conn, now.plus(env.cfg.ops.hold_ms)));
@@ -556,10 +553,7 @@
     }
 
     fn track_idle(&mut self, name: &MachineId, now: Millis) {
-        let busy = self
-            .jobs
-            .values()
-            .any(|j| j.view.started.contains_key(name));
+        let busy = self.holds_tasks(name);
         if let Some(m) = self.machines.get_mut(name) {
             if busy || m.listed.iter().any(|t| t.state != TaskState::Exited) {
                 m.idle_since = None;
@@ -703,6 +697,21 @@
         commands
     }
 
+    /// Whether the picture has starts on this machine that are not durable yet.
+    fn awaits_commit(&self, name: &MachineId) -> bool {
+        self.jobs.values().any(|j| {
+            let viewed = j.view.started.get(name);
+            viewed.is_some_and(|v| j.durable.started.get(name) != Some(v))
+        })
+    }
+
+    /// Whether the picture has tasks on this machine.
+    fn holds_tasks(&self, name: &MachineId) -> bool {
+        self.jobs
+            .values()
+            .any(|j| j.view.started.contains_key(name))
+    }
+
     /// Answers the workers whose start is committed or who cannot wait any longer.
     fn answer_held(&mut self, env: &mut Env) {
         let now = env.now();
@@ -712,13 +721,7 @@
             .filter_map(|(n, m)| m.held.map(|(c, d)| (n.clone(), c, d)))
             .collect();
         for (name, conn, deadline) in held {
-            let waits = self.jobs.values().any(|j| {
-                j.view
-                    .started
-                    .get(&name)
-                    .is_some_and(|v| j.durable.started.get(&name) != Some(v))
-            });
-            if waits && now < deadline {
+            if self.awaits_commit(&name) && now < deadline {
                 continue;
             }
             if let Some(m) = self.machines.get_mut(&name) {
@@ -935,10 +938,8 @@
                 .map(|(name, free)| {
                     let m = &self.machines[name];
                     let zone_name = env.cfg.settings.deployment.zones.get(m.zone);
-                    let allowed = spec.types.as_ref().is_none_or(|t| t.contains(&m.model))
-                        && spec.zone.as_ref().is_none_or(|z| zone_name == Some(z))
+                    let allowed = m.allowed_for(&spec, zone_name)
                         && (!spec.zones_bound() || zone_name.is_some())
-                        && (!m.spot || spec.spot)
                         && (!job.failed_on.contains(name) || m.error_streak.is_empty());
                     let cap = if !allowed {
                         0
@@ -1415,10 +1416,7 @@
         let mut count = 0u32;
         for (name, m) in &self.machines {
             let zone = env.cfg.settings.deployment.zones.get(m.zone);
-            let allowed = spec.types.as_ref().is_none_or(|t| t.contains(&m.model))
-                && spec.zone.as_ref().is_none_or(|z| zone == Some(z))
-                && (!m.spot || spec.spot)
-                && m.error_streak.is_empty();
+            let allowed = m.allowed_for(spec, zone) && m.error_streak.is_empty();
             if !allowed || !m.open(env.now(), fresh_ms) {
                 continue;
             }
@@ -1463,10 +1461,7 @@
         let mut back: Vec<MachineId> = Vec::new();
         let names: Vec<MachineId> = self.machines.keys().cloned().collect();
         for name in names {
-            let busy = self
-                .jobs
-                .values()
-                .any(|j| j.view.started.contains_key(&name));
+            let busy = self.holds_tasks(&name);
             let Some(m) = self.machines.get_mut(&name) else {
                 continue;
             };
@@ -1496,9 +1491,9 @@
                 back.push(name);
             }
         }
-        if !back.is_empty() && self.releasing.is_none() && env.cloud.may(now) {
+        if !back.is_empty() && !self.releasing && env.cloud.may(now) {
             back.truncate(100);
-            self.releasing = Some(());
+            self.releasing = true;
             env.cloud.release(
                 env.out,
                 CloudTag::PartRelease(self.part, self.token, back.clone()),
@@ -1509,7 +1504,7 @@
 
     /// The cloud confirmed that these machines, and all that was on them, are gone.
     pub fn returned(&mut self, machines: &[MachineId], confirmed: bool, env: &mut Env) {
-        self.releasing = None;
+        self.releasing = false;
         if !confirmed {
             return;
         }
@@ -1599,6 +1594,13 @@
 }
 
 impl Machine {
+    /// Whether the job may run on this type, in this zone and on this kind of machine.
+    fn allowed_for(&self, spec: &JobSpec, zone: Option<&String>) -> bool {
+        spec.types.as_ref().is_none_or(|t| t.contains(&self.model))
+            && spec.zone.as_ref().is_none_or(|z| zone == Some(z))
+            && (!self.spot || spec.spot)
+    }
+
     fn image(&self, image: &str) -> Image {
         if self.images.contains(image) {
             Image::Cached
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -639,7 +639,6 @@
                     .insert(number.parse().unwrap_or(0));
             }
         }
-        let _ = changed;
         if changed {
             self.after(500, Event::Report(name.to_string()));
         }
@@ -658,7 +657,7 @@
             user.wants_cancel = true;
         }
         let settled = user.told_done || user.told_cancelled.is_some();
-        let sent = if !user.accepted {
+        if !user.accepted {
             let body = spec.to_string().into_bytes();
             self.ask(node, "POST", "/api/jobs", body, Asked::Submit(u))
         } else if user.wants_cancel && !settled {
@@ -668,7 +667,6 @@
             let path = format!("/api/jobs/{job}");
             self.ask(node, "GET", &path, Vec::new(), Asked::Poll(u))
         };
-        let _ = sent;
         if self.rng.random_bool(0.1) {
             self.ask(
                 node,
