--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -18,6 +18,9 @@
 /// Final states are small; beyond this many the state service is asked again.
 const FINALS_KEPT: usize = 20_000;
 
+/// Guards of deleted keys are let gather up to about this many.
+const TIDY_AT: usize = 500;
+
 #[derive(Clone, Debug)]
 pub struct Versioned<T> {
     pub version: Version,
@@ -202,6 +205,9 @@
     /// Forgets guards of deleted keys that the feed has passed.
     pub fn tidy(&mut self) {
         let revision = self.revision;
+        if self.versions.len() < 2 * (self.jobs.len() + self.allocs.len()) + TIDY_AT {
+            return;
+        }
         let (jobs, allocs) = (&self.jobs, &self.allocs);
         self.versions.retain(|key, version| {
             *version > revision
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -59,6 +59,17 @@
         // A request that alone passes what is left over the reserve goes when the bucket is full.
         self.level >= (amount + reserve * self.rate).min(self.most)
     }
+    /// How much may go now beside the reserve; never nothing when the bucket is full.
+    pub fn room(&mut self, now: Millis, reserve: f64) -> usize {
+        self.refill(now);
+        let room = (self.level - reserve * self.rate).max(0.0) as usize;
+        if self.level >= self.most {
+            // The smallest change that closes a share takes two writes.
+            room.max(2)
+        } else {
+            room
+        }
+    }
     pub fn take(&mut self, amount: f64) {
         self.level -= amount;
     }
@@ -130,6 +141,15 @@
             && (writes == 0 || self.writes.has(now, writes as f64, class.reserve()))
     }
 
+    /// How many writes one transaction of this class may make now.
+    pub fn room(&mut self, now: Millis, class: Class) -> usize {
+        if self.requests.has(now, 1.0, class.reserve()) {
+            self.writes.room(now, class.reserve())
+        } else {
+            0
+        }
+    }
+
     #[allow(clippy::too_many_arguments)]
     fn send(
         &mut self,
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -23,6 +23,8 @@
 /// How often the regular work is done.
 pub const TICK_MS: u64 = 25;
 const HINT_MS: u64 = 400;
+/// Machines heard within this time are told of to the leader.
+const HEARD_MS: u64 = 10_000;
 /// Without service for so long, this controller says that the state service does not serve it.
 const UNSERVED_MS: u64 = 1_500;
 /// Share of the state service's budget that the controllers use together.
@@ -515,11 +517,13 @@
             if fresh {
                 let owned = self.mirror.parts.len() == self.cfg.parts as usize
                     && self.peers.fresh(now).count() + 1 == self.cfg.members.len();
-                let mut heard = self.peers.heard_machines(now);
-                for shard in self.shards.values() {
-                    heard.extend(shard.heard(now, 10_000).map(|m| m.as_str().to_string()));
+                if fleet.wants_heard(now) {
+                    let mut heard = self.peers.heard_machines(now);
+                    for shard in self.shards.values() {
+                        heard.extend(shard.heard(now, HEARD_MS).map(|m| m.as_str().to_string()));
+                    }
+                    fleet.note_heard(now, heard.into_iter());
                 }
-                fleet.note_heard(now, heard.into_iter());
                 fleet.tick(owned, &mut self.env());
             }
             self.fleet = Some(fleet);
@@ -582,7 +586,7 @@
                 capacity_cpus: shard.room().capacity,
                 waiting_cpus: shard.waiting_cpus,
                 heard: shard
-                    .heard(now, 10_000)
+                    .heard(now, HEARD_MS)
                     .map(|m| m.as_str().to_string())
                     .collect(),
             });
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -47,6 +47,7 @@
     refused: BTreeMap<Pool, Millis>,
     plan_at: Millis,
     heard: BTreeMap<String, Millis>,
+    heard_at: Millis,
     since: Millis,
     releasing: bool,
     have_list: bool,
@@ -69,6 +70,8 @@
 
 /// A machine is dear for a job if it costs more than this many times the cheapest one allowed.
 const DEAR: f64 = 1.5;
+/// How often the leader notes which machines report.
+const HEARD_GAP_MS: u64 = 500;
 
 /// Room that is there or on its way.
 #[derive(Clone, Debug)]
@@ -213,6 +216,7 @@
             refused: BTreeMap::new(),
             plan_at: Millis(0),
             heard: BTreeMap::new(),
+            heard_at: Millis(0),
             since: now,
             releasing: false,
             have_list: false,
@@ -220,7 +224,13 @@
         }
     }
 
+    /// Whether it is time to hear again which machines report.
+    pub fn wants_heard(&self, now: Millis) -> bool {
+        now.since(self.heard_at) >= HEARD_GAP_MS
+    }
+
     pub fn note_heard(&mut self, now: Millis, names: impl Iterator<Item = String>) {
+        self.heard_at = now;
         for name in names {
             self.heard.insert(name, now);
         }
--- a/src/coordination/gateway.rs
+++ b/src/coordination/gateway.rs
@@ -20,7 +20,13 @@
 /// How often a cancellation that met another write is tried again before the user is asked to.
 const CANCEL_TRIES: u32 = 5;
 /// Transactions of submissions underway at once.
+/// Keys that accepting a job mostly writes: its own and one or two shares.
+const WRITES_A_JOB: usize = 3;
 const ACCEPTS_UNDERWAY: usize = 3;
+/// A part is given a share only if it takes at least one in so many of the tasks that are left.
+const LEAST_SHARE: u32 = 4;
+/// For so long what was given to a part is counted beside what it says of itself.
+const GIVEN_MS: u64 = 1_000;
 
 struct Accept {
     conns: Vec<ConnId>,
@@ -51,6 +57,8 @@
     next: u64,
     /// Room by part, as far as known.
     pub rooms: BTreeMap<PartId, PartRoom>,
+    /// CPUs lately given to parts, which these do not tell of yet.
+    given: VecDeque<(Millis, PartId, f64)>,
 }
 
 /// Why a job can never run here, if so.
@@ -90,7 +98,8 @@
     None
 }
 
-/// Divides a job over parts by their free room.
+/// Divides a job over parts by their free room, over no more of them than its tasks need: every
+/// share costs its own record and several writes.
 pub fn split(
     job: &JobId,
     spec: &JobSpec,
@@ -101,53 +110,39 @@
     let room = |p: u32| known(p).free.max(0.0);
     let first = part_of(job.as_str(), parts).0;
     let ring = || (0..parts).map(move |i| (first + i) % parts);
-    let whole = |p: u32| vec![(PartId(p), Spans::range(0, spec.tasks, 1))];
     if spec.kind == Kind::Standing || spec.zones_bound() || spec.tasks == 1 || parts == 1 {
         let best = ring().max_by(|a, b| room(*a).total_cmp(&room(*b)));
-        return whole(best.unwrap_or(first));
+        let part = PartId(best.unwrap_or(first));
+        return vec![(part, Spans::range(0, spec.tasks, 1))];
     }
     let size = spec.room.cpus.max(0.01);
-    let total: f64 = ring().map(|p| (room(p) / size).floor()).sum();
     let mut rest = spec.tasks;
     let mut counts: BTreeMap<u32, u32> = BTreeMap::new();
-    // What is free now is used in proportion; the rest waits in proportion to what each part has,
-    // so that no queue is longer than the others.
-    if total >= 1.0 {
-        let now = f64::from(spec.tasks).min(total);
-        for p in ring() {
-            let fit = (room(p) / size).floor();
-            let n = ((fit / total * now).floor() as u32).min(rest);
-            *counts.entry(p).or_default() += n;
-            rest -= n;
+    let mut by_room: Vec<u32> = ring().collect();
+    by_room.sort_by(|a, b| room(*b).total_cmp(&room(*a)));
+    for p in by_room {
+        let fit = ((room(p) / size) as u32).min(rest);
+        if rest == 0 || fit.saturating_mul(LEAST_SHARE) < rest {
+            break;
         }
+        counts.insert(p, fit);
+        rest -= fit;
     }
-    let all: f64 = ring().map(|p| known(p).capacity).sum();
-    if all > 0.0 {
-        let waits = rest;
-        for p in ring() {
-            let n = (known(p).capacity / all * f64::from(waits)).round() as u32;
-            let n = n.min(rest);
-            *counts.entry(p).or_default() += n;
-            rest -= n;
-        }
-    }
-    while rest > 0 {
-        for p in ring() {
-            if rest > 0 {
-                let chunk = rest.div_ceil(parts).min(rest);
-                *counts.entry(p).or_default() += chunk;
-                rest -= chunk;
-            }
-        }
+    if rest > 0 {
+        // What waits goes where it waits least: the shortest queue for its capacity.
+        let wait = |p: u32| {
+            let taken = f64::from(counts.get(&p).copied().unwrap_or(0)) * size;
+            let ahead = known(p).waiting + taken - room(p);
+            (ahead + f64::from(rest) * size) / known(p).capacity.max(size)
+        };
+        let best = ring().min_by(|a, b| wait(*a).total_cmp(&wait(*b)));
+        *counts.entry(best.unwrap_or(first)).or_default() += rest;
     }
     let mut at = 0;
     let mut shares = Vec::new();
-    for p in ring() {
-        let n = counts.get(&p).copied().unwrap_or(0);
-        if n > 0 {
-            shares.push((PartId(p), Spans::range(at, at + n, 1)));
-            at += n;
-        }
+    for (p, n) in counts {
+        shares.push((PartId(p), Spans::range(at, at + n, 1)));
+        at += n;
     }
     shares
 }
@@ -187,7 +182,7 @@
             return;
         }
         // More than can be written within about a second is refused at once.
-        let waiting = self.queue.len() * (1 + env.cfg.parts as usize);
+        let waiting = self.queue.len() * WRITES_A_JOB;
         let per_second = env.cfg.settings.deployment.state.write_rps / f64::from(env.cfg.parts);
         if waiting as f64 > 0.7 * per_second {
             let later = Response::later(503, "too many submissions", 2);
@@ -225,12 +220,17 @@
             return;
         }
         let max_ops = env.cfg.settings.deployment.state.txn_ops;
+        self.given.retain(|(at, _, _)| now.since(*at) < GIVEN_MS);
+        let mut rooms = self.rooms.clone();
+        for (_, part, cpus) in &self.given {
+            rooms.entry(*part).or_default().give(*cpus);
+        }
         let mut txn = Txn::default();
         let mut batch = Vec::new();
         let mut written = Vec::new();
         let mut bytes = 0;
         while let Some(accept) = self.queue.front() {
-            let mut shares = split(&accept.job, &accept.spec, env.cfg.parts, &self.rooms);
+            let mut shares = split(&accept.job, &accept.spec, env.cfg.parts, &rooms);
             if shares.len() + 1 > max_ops {
                 let (part, _) = shares[0];
                 shares = vec![(part, Spans::range(0, accept.spec.tasks, 1))];
@@ -263,6 +263,9 @@
                 serde_json::to_value(&record).unwrap_or_default(),
             );
             for (part, waiting) in shares {
+                let cpus = f64::from(waiting.len()) * accept.spec.room.cpus;
+                rooms.entry(part).or_default().give(cpus);
+                self.given.push_back((now, part, cpus));
                 let alloc = Alloc {
                     waiting,
                     ..Alloc::default()
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -15,6 +15,17 @@
 pub struct PartRoom {
     pub free: f64,
     pub capacity: f64,
+    /// What the part's waiting tasks ask for.
+    pub waiting: f64,
+}
+
+impl PartRoom {
+    /// Counts tasks of so many CPUs that were given to the part: they start or wait.
+    pub fn give(&mut self, cpus: f64) {
+        let starts = cpus.min(self.free.max(0.0));
+        self.free -= starts;
+        self.waiting += cpus - starts;
+    }
 }
 
 #[derive(Default)]
@@ -76,6 +87,7 @@
                 let room = PartRoom {
                     free: p.free_cpus,
                     capacity: p.capacity_cpus,
+                    waiting: p.waiting_cpus,
                 };
                 (PartId(p.part), room)
             })
--- /dev/null
+++ b/src/coordination/shard/claims.rs
@@ -0,0 +1,124 @@
+//! An idle part takes over tasks that wait in another one.
+
+use super::Shard;
+use crate::bookkeeping::records::{JobState, alloc_key, job_key, part_key};
+use crate::bookkeeping::store::{Class, TxnResult};
+use crate::coordination::env::{Env, Tag};
+use crate::ids::{JobId, PartId, Version, WallMs};
+use crate::protocol::state::{Change, Txn};
+
+/// A job younger than this is left to the part that holds it.
+const CLAIM_AGE_MS: u64 = 1_500;
+
+impl Shard {
+    /// An idle part takes over tasks that wait in another part, in one conditional transaction.
+    pub(super) fn claim(&mut self, env: &mut Env) {
+        let now = env.now();
+        if self.claiming || self.waiting_here || self.free_cpus <= 0.0 || now < self.claim_at {
+            return;
+        }
+        let rooms = self.rooms(env);
+        let mut best: Option<(WallMs, PartId, JobId, u32)> = None;
+        for ((part, id), alloc) in &env.mirror.allocs {
+            if *part == self.part || alloc.value.waiting.is_empty() {
+                continue;
+            }
+            let Some(record) = env.mirror.jobs.get(id) else {
+                continue;
+            };
+            let (Some(spec), JobState::Open) = (&record.value.spec, record.value.state) else {
+                continue;
+            };
+            // A job whose zones are bound moves whole, before anything of it is started; a young
+            // one may be about to start there.
+            if (spec.zones_bound() && !alloc.value.started.is_empty())
+                || env.out.wall_ms < record.value.submitted.0 + CLAIM_AGE_MS
+                || self
+                    .jobs
+                    .get(id)
+                    .is_some_and(|j| j.in_flight || !j.steps.is_empty())
+            {
+                continue;
+            }
+            let older = best.as_ref().is_none_or(|b| record.value.submitted < b.0);
+            if !older {
+                continue;
+            }
+            let fit = self.fit(spec, &rooms, env);
+            if fit > 0 {
+                let waiting = alloc.value.waiting.len();
+                let count = if spec.zones_bound() {
+                    waiting
+                } else {
+                    fit.min(waiting)
+                };
+                best = Some((record.value.submitted, *part, id.clone(), count));
+            }
+        }
+        let Some((_, from, id, count)) = best else {
+            self.claim_at = now.plus(250);
+            return;
+        };
+        let (Some(theirs), Some(record)) = (
+            env.mirror.allocs.get(&(from, id.clone())).cloned(),
+            env.mirror.jobs.get(&id).cloned(),
+        ) else {
+            return;
+        };
+        let mine = env.mirror.allocs.get(&(self.part, id.clone())).cloned();
+        let mut left = (*theirs.value).clone();
+        let taken = left.waiting.split_last(count);
+        let mut next = mine
+            .as_ref()
+            .map(|m| (*m.value).clone())
+            .unwrap_or_default();
+        next.waiting.merge(&taken);
+        let (theirs_key, mine_key) = (alloc_key(from, &id), alloc_key(self.part, &id));
+        let mut txn = Txn::default()
+            .when(part_key(self.part), Version(self.token.0))
+            .when(theirs_key.clone(), theirs.version)
+            .when(
+                mine_key.clone(),
+                mine.map(|m| m.version).unwrap_or_default(),
+            )
+            .when(job_key(&id), record.version)
+            .then(Change::write(theirs_key, &left))
+            .then(Change::write(mine_key, &next));
+        if !record.value.parts.contains(&self.part) {
+            let mut job = (*record.value).clone();
+            job.parts.push(self.part);
+            txn = txn.then(Change::write(job_key(&id), &job));
+        }
+        if !env.store.may(now, Class::Starts, txn.changes.len()) {
+            self.claim_at = now.plus(250);
+            return;
+        }
+        tracing::info!(job = %id, from = %from, part = %self.part, tasks = count, "claims waiting tasks");
+        self.claiming = true;
+        env.store.txn(
+            env.out,
+            Tag::ClaimTxn(self.part, self.token, id, txn.clone()),
+            &txn,
+        );
+    }
+    pub fn claim_done(&mut self, txn: &Txn, result: TxnResult, env: &mut Env) {
+        let now = env.now();
+        self.claiming = false;
+        self.claim_at = now.plus(100);
+        match result {
+            TxnResult::Done(revision) => {
+                for change in &txn.changes {
+                    if let Change::Write { key, value, .. } = change {
+                        env.mirror.apply(key, Some(value), revision);
+                    }
+                }
+                // Every share of the job changed hands in the mirror; the caller tells all shards.
+            }
+            // The change feed shows what became of it; nothing is commanded before that.
+            TxnResult::Unknown => self.claim_at = now.plus(3_000),
+            TxnResult::Conflict(_) | TxnResult::NotDone | TxnResult::NoLease => {
+                self.claim_at = now.plus(500);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/shard/job.rs
@@ -0,0 +1,91 @@
+//! A part's share of one job: what is durable, and the steps that are not yet.
+
+use crate::bookkeeping::records::{Alloc, JobRecord, JobSpec, JobState, Step, StepKind};
+use crate::ids::{MachineId, Millis, Version};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+pub(super) struct NumberedStep {
+    pub id: u64,
+    pub step: Step,
+}
+
+/// How soon a share's changes should be written, most pressing first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub(super) enum Press {
+    /// Its end, or a write whose fate is unknown.
+    Settle,
+    /// Tasks wait for their start to be durable.
+    Starts,
+    /// Ends of tasks: their room is free already, and the reports repeat them until reaped.
+    Ends,
+}
+
+pub(super) struct ShardJob {
+    pub spec: Rc<JobRecord>,
+    pub job_version: Version,
+    pub durable: Rc<Alloc>,
+    pub version: Version,
+    /// `durable` with all steps applied.
+    pub view: Alloc,
+    /// Tasks started in `view`.
+    pub started: u32,
+    pub steps: Vec<NumberedStep>,
+    /// When the oldest step was taken.
+    pub since: Millis,
+    /// A write went unanswered and may still be applied: the key must be written once more.
+    pub unsettled: bool,
+    /// Being read back; nothing is written meanwhile.
+    pub reading: bool,
+    pub in_flight: bool,
+    /// The number by which this part knows the job's image.
+    pub image: u32,
+    pub failed_on: BTreeSet<MachineId>,
+    pub failures: u32,
+    pub retry_at: Millis,
+}
+
+impl ShardJob {
+    pub fn spec(&self) -> Option<&JobSpec> {
+        self.spec.spec.as_ref()
+    }
+    pub fn cancelled(&self) -> bool {
+        self.spec.state == JobState::Cancelled
+    }
+    /// Whether tasks of it wait for room.
+    pub fn waits(&self) -> bool {
+        !self.cancelled() && !self.view.waiting.is_empty()
+    }
+    /// Nothing of the job is left here once all steps are durable.
+    pub fn over(&self) -> bool {
+        self.view.started.is_empty() && (self.cancelled() || self.view.waiting.is_empty())
+    }
+    pub fn rebase(&mut self) {
+        let mut view = (*self.durable).clone();
+        let cancelled = self.cancelled();
+        self.steps.retain(|numbered| {
+            // A start that is not durable when the job is cancelled must never become so.
+            if cancelled && numbered.step.what == StepKind::Start {
+                let here = view.started_on(&numbered.step.machine, numbered.step.task);
+                return here == Some(numbered.step.attempt);
+            }
+            view.apply(&numbered.step)
+        });
+        self.started = view.started_count();
+        self.view = view;
+    }
+    /// Whether there is something to write, and how much it presses.
+    pub fn press(&self) -> Option<Press> {
+        if self.in_flight || self.reading {
+            None
+        } else if self.unsettled || self.over() {
+            Some(Press::Settle)
+        } else if self.steps.iter().any(|s| s.step.what == StepKind::Start) {
+            Some(Press::Starts)
+        } else if !self.steps.is_empty() {
+            Some(Press::Ends)
+        } else {
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/shard/machine.rs
@@ -0,0 +1,115 @@
+//! A machine as its part's owner pictures it.
+
+use crate::bookkeeping::records::{JobSpec, Room};
+use crate::coordination::placement::Image;
+use crate::ids::{Attempt, ConnId, JobId, Millis, Seq, Session};
+use crate::protocol::worker::{TaskRef, TaskState, Why};
+use std::collections::BTreeSet;
+
+#[derive(Clone)]
+pub(super) struct OnMachine {
+    pub task: TaskRef,
+    pub attempt: Attempt,
+    pub state: TaskState,
+    pub why: Option<Why>,
+}
+
+/// An answer to a report that waits.
+#[derive(Clone, Copy)]
+pub(super) struct Held {
+    pub conn: ConnId,
+    pub since: Millis,
+    pub deadline: Millis,
+}
+
+pub(super) struct Machine {
+    pub model: String,
+    pub zone: usize,
+    pub spot: bool,
+    pub session: Session,
+    pub seq: Seq,
+    /// Its report shows this owner's token: no earlier owner can command it any more.
+    pub shown: bool,
+    pub heard: Millis,
+    /// Whether it ever reported to this owner.
+    pub reported: bool,
+    pub notice_until: Option<Millis>,
+    pub listed: Vec<OnMachine>,
+    pub held: Option<Held>,
+    pub idle_since: Option<Millis>,
+    /// By the numbers that the part gives to images.
+    pub images: BTreeSet<u32>,
+    /// Images that tasks placed here wait for.
+    pub coming: BTreeSet<u32>,
+    /// Jobs whose tasks failed here since a task last completed here.
+    pub error_streak: Vec<JobId>,
+    pub draining: bool,
+    pub returning: bool,
+    pub full_until: Millis,
+    /// What the picture and the newest report say is taken; kept until `stale`.
+    pub used: Room,
+    /// Jobs of listed tasks that the picture does not hold here, one entry a task.
+    pub strays: Vec<JobId>,
+    /// `used` and `strays` must be worked out anew.
+    pub stale: bool,
+}
+
+impl Machine {
+    /// Whether the job may run on this type, in this zone and on this kind of machine.
+    pub fn allowed_for(&self, spec: &JobSpec, zone: Option<&String>) -> bool {
+        (!self.spot || spec.spot)
+            && spec.types.as_ref().is_none_or(|t| t.contains(&self.model))
+            && spec.zone.as_ref().is_none_or(|z| zone == Some(z))
+    }
+
+    pub fn image(&self, image: u32) -> Image {
+        if self.images.contains(&image) {
+            Image::Cached
+        } else if self.coming.contains(&image) {
+            Image::Coming
+        } else {
+            Image::Absent
+        }
+    }
+
+    /// Whether tasks may be placed here.
+    pub fn open(&self, now: Millis, fresh_ms: u64) -> bool {
+        self.shown
+            && !self.draining
+            && !self.returning
+            && self.notice_until.is_none()
+            && self.full_until <= now
+            && now.since(self.heard) <= fresh_ms
+    }
+
+    /// Whether its newest report lists a task that has not ended.
+    pub fn lists_tasks(&self) -> bool {
+        self.listed.iter().any(|t| t.state != TaskState::Exited)
+    }
+
+    pub fn unknown(now: Millis) -> Machine {
+        Machine {
+            model: String::new(),
+            zone: usize::MAX,
+            spot: true,
+            session: Session(0),
+            seq: Seq(0),
+            shown: false,
+            heard: now,
+            reported: false,
+            notice_until: None,
+            listed: Vec::new(),
+            held: None,
+            idle_since: None,
+            images: BTreeSet::new(),
+            coming: BTreeSet::new(),
+            error_streak: Vec::new(),
+            draining: false,
+            returning: false,
+            full_until: Millis(0),
+            used: Room::default(),
+            strays: Vec::new(),
+            stale: true,
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/shard/mod.rs
@@ -0,0 +1,373 @@
+//! The owner of one part: its machines, its shares of jobs, and every start on its machines.
+//!
+//! What it writes is conditional on its token, so a deposed owner's late writes fail. What it
+//! commands has been committed first, and is commanded only inside answers to reports.
+
+mod claims;
+mod job;
+mod machine;
+mod placing;
+mod quota;
+mod reports;
+mod returns;
+mod writing;
+
+use super::env::Env;
+use super::peers::PartRoom;
+use crate::bookkeeping::records::{Alloc, Grant, QuotaRecord, Step, StepKind};
+use crate::ids::{Attempt, JobId, MachineId, Millis, PartId, TaskNo, Team, Token};
+use crate::protocol::worker::TaskState;
+use job::{NumberedStep, ShardJob};
+use machine::Machine;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use writing::Flight;
+
+/// How often machines and grants are looked over.
+const TEND_MS: u64 = 200;
+
+pub struct Shard {
+    pub part: PartId,
+    pub token: Token,
+    pub ready: bool,
+    pub deposed: bool,
+    taken: Millis,
+    jobs: BTreeMap<JobId, ShardJob>,
+    machines: BTreeMap<MachineId, Machine>,
+    /// Jobs with started tasks in their view, by machine.
+    on: BTreeMap<MachineId, BTreeSet<JobId>>,
+    /// Numbers for the images of jobs seen.
+    images: HashMap<String, u32>,
+    gone: HashSet<MachineId>,
+    gone_order: VecDeque<MachineId>,
+    next_step: u64,
+    flight: Option<Flight>,
+    /// Writes in a row that were not carried out.
+    refusals: u32,
+    retry_at: Millis,
+    claiming: bool,
+    claim_at: Millis,
+    quota: HashMap<Team, quota::QuotaState>,
+    quota_flight: Option<(Team, QuotaRecord)>,
+    /// Teams for which placement lacked grant in the last pass.
+    pub short_of: BTreeMap<Team, Grant>,
+    /// A return is underway.
+    releasing: bool,
+    /// Something changed that placement may use.
+    dirty: bool,
+    placed_at: Millis,
+    tended_at: Millis,
+    told_at: Millis,
+    pub free_cpus: f64,
+    capacity_cpus: f64,
+    pub waiting_cpus: f64,
+    /// Tasks wait that some machine here could run, were it empty.
+    waiting_here: bool,
+}
+
+impl Shard {
+    pub fn new(part: PartId, token: Token, now: Millis) -> Shard {
+        Shard {
+            part,
+            token,
+            ready: false,
+            deposed: false,
+            taken: now,
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            on: BTreeMap::new(),
+            images: HashMap::new(),
+            gone: HashSet::new(),
+            gone_order: VecDeque::new(),
+            next_step: 0,
+            flight: None,
+            refusals: 0,
+            retry_at: Millis(0),
+            claiming: false,
+            claim_at: Millis(0),
+            quota: HashMap::new(),
+            quota_flight: None,
+            short_of: BTreeMap::new(),
+            releasing: false,
+            dirty: true,
+            placed_at: Millis(0),
+            tended_at: Millis(0),
+            told_at: Millis(0),
+            free_cpus: 0.0,
+            capacity_cpus: 0.0,
+            waiting_cpus: 0.0,
+            waiting_here: false,
+        }
+    }
+
+    pub fn room(&self) -> PartRoom {
+        PartRoom {
+            free: self.free_cpus,
+            capacity: self.capacity_cpus,
+            waiting: self.waiting_cpus,
+        }
+    }
+
+    pub fn knows(&self, job: &JobId) -> bool {
+        self.jobs.contains_key(job)
+    }
+
+    /// Machines that reported lately.
+    pub fn heard(&self, now: Millis, within_ms: u64) -> impl Iterator<Item = &MachineId> + '_ {
+        self.machines
+            .iter()
+            .filter(move |(_, m)| m.reported && now.since(m.heard) <= within_ms)
+            .map(|(name, _)| name)
+    }
+
+    /// Builds the picture once everything up to the token has been read: later writes of an
+    /// earlier owner cannot succeed, earlier ones are in the mirror.
+    pub fn activate(&mut self, env: &mut Env) {
+        if self.ready || !env.mirror.loaded || env.mirror.revision.0 < self.token.0 {
+            return;
+        }
+        self.ready = true;
+        let jobs: Vec<JobId> = env
+            .mirror
+            .part_allocs(self.part)
+            .map(|(job, _)| job.clone())
+            .collect();
+        for job in &jobs {
+            self.refresh(job, env);
+        }
+        let now = env.now();
+        let held: BTreeSet<MachineId> = self
+            .jobs
+            .values()
+            .flat_map(|j| j.view.started.keys().cloned())
+            .collect();
+        for name in held {
+            self.machines
+                .entry(name)
+                .or_insert_with(|| Machine::unknown(now));
+        }
+        tracing::info!(part = %self.part, token = %self.token, jobs = jobs.len(),
+            machines = self.machines.len(), "part taken, picture rebuilt");
+    }
+
+    /// Takes the mirror's state of a job's share in.
+    pub fn refresh(&mut self, job: &JobId, env: &Env) {
+        if !self.ready {
+            return;
+        }
+        let alloc = env.mirror.allocs.get(&(self.part, job.clone()));
+        let record = env.mirror.jobs.get(job);
+        match (alloc, record) {
+            (Some(alloc), Some(record)) => {
+                let now = env.out.now;
+                let known = self.jobs.contains_key(job);
+                let image = record
+                    .value
+                    .spec
+                    .as_ref()
+                    .map_or(0, |s| self.number(&s.image));
+                let entry = self.jobs.entry(job.clone()).or_insert_with(|| ShardJob {
+                    spec: record.value.clone(),
+                    job_version: record.version,
+                    durable: alloc.value.clone(),
+                    version: alloc.version,
+                    view: Alloc::default(),
+                    started: 0,
+                    steps: Vec::new(),
+                    since: now,
+                    unsettled: false,
+                    reading: false,
+                    in_flight: false,
+                    image,
+                    failed_on: BTreeSet::new(),
+                    failures: 0,
+                    retry_at: Millis(0),
+                });
+                if known && record.version == entry.job_version && alloc.version <= entry.version {
+                    // Nothing new.
+                    return;
+                }
+                let before: Vec<MachineId> = entry.view.started.keys().cloned().collect();
+                entry.spec = record.value.clone();
+                entry.job_version = record.version;
+                if alloc.version > entry.version {
+                    entry.version = alloc.version;
+                    entry.durable = alloc.value.clone();
+                }
+                entry.rebase();
+                self.reindex(job, &before);
+                self.dirty = true;
+            }
+            (None, _) => {
+                if let Some(old) = self.jobs.remove(job) {
+                    let before: Vec<MachineId> = old.view.started.into_keys().collect();
+                    self.reindex(job, &before);
+                    self.dirty = true;
+                }
+            }
+            // The share is known and the job not yet: its change follows.
+            (Some(_), None) => {}
+        }
+    }
+
+    /// The number for an image.
+    fn number(&mut self, image: &str) -> u32 {
+        if let Some(number) = self.images.get(image) {
+            return *number;
+        }
+        let number = self.images.len() as u32;
+        self.images.insert(image.to_string(), number);
+        number
+    }
+
+    /// Brings the sums by machine up to date after a job's view, which had started tasks on the
+    /// machines `before`, was replaced or removed.
+    fn reindex(&mut self, job: &JobId, before: &[MachineId]) {
+        let after = self.jobs.get(job).map(|j| &j.view.started);
+        for name in before {
+            if after.is_none_or(|s| !s.contains_key(name))
+                && let Some(jobs) = self.on.get_mut(name)
+            {
+                jobs.remove(job);
+                if jobs.is_empty() {
+                    self.on.remove(name);
+                }
+            }
+            if let Some(m) = self.machines.get_mut(name) {
+                m.stale = true;
+            }
+        }
+        for name in after.into_iter().flat_map(|s| s.keys()) {
+            self.on.entry(name.clone()).or_default().insert(job.clone());
+            if let Some(m) = self.machines.get_mut(name) {
+                m.stale = true;
+            }
+        }
+        // A job that comes or goes changes what is known of tasks outside the picture.
+        for m in self.machines.values_mut().filter(|m| !m.strays.is_empty()) {
+            m.stale = true;
+        }
+    }
+
+    /// Jobs with started tasks on a machine, in the picture.
+    fn jobs_on(&self, name: &MachineId) -> impl Iterator<Item = (&JobId, &ShardJob)> + '_ {
+        let jobs = self.on.get(name).into_iter().flatten();
+        jobs.filter_map(|id| Some((id, self.jobs.get(id)?)))
+    }
+
+    /// One line on the part's load, for whoever reads the logs.
+    fn tell(&self, env: &Env) {
+        let mut cpus: BTreeMap<&str, f64> = BTreeMap::new();
+        let mut capacity = 0.0;
+        for m in self.machines.values() {
+            capacity += env.types.get(&m.model).map_or(0.0, |t| t.cpus);
+            for item in &m.listed {
+                let room = self
+                    .jobs
+                    .get(&item.task.job)
+                    .and_then(|j| j.spec())
+                    .map(|s| s.room);
+                let state = match item.state {
+                    TaskState::Pulling => "pulling",
+                    TaskState::Running => "running",
+                    TaskState::Saving => "saving",
+                    TaskState::Exited => "exited",
+                };
+                if let Some(room) = room {
+                    *cpus.entry(state).or_default() += room.cpus;
+                }
+            }
+        }
+        let of = |state: &str| cpus.get(state).copied().unwrap_or(0.0);
+        tracing::info!(part = %self.part, machines = self.machines.len(), capacity, free = self.free_cpus,
+            running = of("running"), pulling = of("pulling"), exited = of("exited"),
+            waiting = self.waiting_cpus, jobs = self.jobs.len(), "load in CPUs");
+    }
+
+    fn step(&mut self, now: Millis, job: &JobId, step: Step) -> bool {
+        let Some(entry) = self.jobs.get_mut(job) else {
+            return false;
+        };
+        if !entry.view.apply(&step) {
+            return false;
+        }
+        let name = &step.machine;
+        match step.what {
+            StepKind::Start => {
+                entry.started += 1;
+                self.on.entry(name.clone()).or_default().insert(job.clone());
+            }
+            StepKind::Finish | StepKind::Requeue => {
+                entry.started = entry.started.saturating_sub(1);
+                if !entry.view.started.contains_key(name)
+                    && let Some(jobs) = self.on.get_mut(name)
+                {
+                    jobs.remove(job);
+                    if jobs.is_empty() {
+                        self.on.remove(name);
+                    }
+                }
+            }
+        }
+        if let Some(m) = self.machines.get_mut(name) {
+            m.stale = true;
+        }
+        self.next_step += 1;
+        if entry.steps.is_empty() {
+            entry.since = now;
+        }
+        entry.steps.push(NumberedStep {
+            id: self.next_step,
+            step,
+        });
+        self.dirty = true;
+        true
+    }
+
+    /// The regular work; `fresh` says whether this owner's lease is known to hold.
+    pub fn tick(
+        &mut self,
+        fresh: bool,
+        others_short: &BTreeSet<Team>,
+        missing: &BTreeSet<MachineId>,
+        env: &mut Env,
+    ) {
+        self.activate(env);
+        if !self.ready || self.deposed {
+            return;
+        }
+        let now = env.now();
+        if now.since(self.placed_at) > 500 {
+            self.dirty = true;
+        }
+        if fresh {
+            self.place(env);
+            self.flush(env);
+        }
+        self.answer_held(env);
+        if !fresh {
+            return;
+        }
+        self.claim(env);
+        if now.since(self.tended_at) >= TEND_MS {
+            self.tended_at = now;
+            self.tend_quota(others_short, env);
+            self.tend_machines(missing, env);
+        }
+        if now.since(self.told_at) >= 10_000 {
+            self.told_at = now;
+            self.tell(env);
+        }
+        if now.since(self.taken) > 1_000 {
+            self.read_again(env);
+        }
+    }
+}
+
+fn requeue(machine: &MachineId, task: TaskNo, attempt: Attempt) -> Step {
+    Step {
+        task,
+        attempt,
+        machine: machine.clone(),
+        what: StepKind::Requeue,
+    }
+}
--- /dev/null
+++ b/src/coordination/shard/placing.rs
@@ -0,0 +1,334 @@
+//! Passes of placement over the part's waiting jobs and open machines.
+
+use super::Shard;
+use super::machine::Machine;
+use crate::bookkeeping::records::Grant;
+use crate::bookkeeping::records::{JobSpec, JobState, Room, Step, StepKind};
+use crate::coordination::env::Env;
+use crate::coordination::placement::{self, Image, Load, Seat, ZoneRule};
+use crate::ids::{JobId, MachineId, Millis, Team, WallMs};
+use crate::protocol::worker::TaskState;
+use std::collections::{HashMap, HashSet};
+
+/// The least time between two passes: reports that come in between share one.
+const PASS_GAP_MS: u64 = 50;
+
+/// A machine that may take tasks, and what of it is free.
+pub(super) struct Open {
+    name: MachineId,
+    pub free: Room,
+    /// What it would have free without any task.
+    whole: Room,
+}
+
+/// What the order of waiting jobs goes by, first to serve first.
+type Turn = (
+    bool,
+    std::cmp::Reverse<crate::bookkeeping::records::Priority>,
+    bool,
+    u64,
+);
+
+impl Shard {
+    /// Works out anew what is taken on machines whose picture or report has changed.
+    pub(super) fn freshen(&mut self) {
+        let (jobs, on) = (&self.jobs, &self.on);
+        for (name, m) in self.machines.iter_mut().filter(|(_, m)| m.stale) {
+            m.stale = false;
+            m.used = Room::default();
+            m.strays.clear();
+            for id in on.get(name).into_iter().flatten() {
+                if let Some(job) = jobs.get(id)
+                    && let Some(spec) = job.spec()
+                    && let Some(spans) = job.view.started.get(name)
+                {
+                    m.used.add(spec.room.times(f64::from(spans.len())));
+                }
+            }
+            for item in m.listed.iter().filter(|t| t.state != TaskState::Exited) {
+                let job = jobs.get(&item.task.job);
+                let held = job.and_then(|j| j.view.started_on(name, item.task.task));
+                if held == Some(item.attempt) {
+                    continue;
+                }
+                m.strays.push(item.task.job.clone());
+                match job {
+                    Some(job) => m.used.add(job.spec().map(|s| s.room).unwrap_or_default()),
+                    // A stray of unknown size: nothing is placed until it is gone.
+                    None => m.used.add(Room {
+                        cpus: 1e9,
+                        gpus: 0.0,
+                        mem: 1e9,
+                    }),
+                }
+            }
+        }
+    }
+
+    /// The machines that may take tasks now.
+    pub(super) fn rooms(&mut self, env: &Env) -> Vec<Open> {
+        self.freshen();
+        let fresh_ms = 2 * env.cfg.settings.report_ms() + 1_000;
+        let now = env.now();
+        self.machines
+            .iter()
+            .filter(|(_, m)| m.open(now, fresh_ms))
+            .filter_map(|(name, m)| {
+                let whole = env.types.get(&m.model)?.room();
+                let mut free = whole;
+                free.sub(m.used);
+                Some(Open {
+                    name: name.clone(),
+                    free,
+                    whole,
+                })
+            })
+            .collect()
+    }
+
+    /// How many tasks of a job could start in these rooms.
+    pub(super) fn fit(&self, spec: &JobSpec, rooms: &[Open], env: &Env) -> u32 {
+        let usable = rooms.iter().filter(|r| self.takes(spec, r, env));
+        usable.fold(0, |n, r| n.saturating_add(spec.room.count_in(r.free)))
+    }
+
+    /// Whether a machine that works may run this job.
+    fn takes(&self, spec: &JobSpec, room: &Open, env: &Env) -> bool {
+        self.machines.get(&room.name).is_some_and(|m| {
+            let zone = env.cfg.settings.deployment.zones.get(m.zone);
+            m.error_streak.is_empty() && m.allowed_for(spec, zone)
+        })
+    }
+
+    /// The waiting jobs in the order in which they are served.
+    fn turns(&self, now: Millis, env: &Env) -> Vec<(Turn, JobId)> {
+        let objectives = &env.cfg.settings.deployment.objectives;
+        let within = within_guarantee(env);
+        let mut order: Vec<(Turn, JobId)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.waits() && j.retry_at <= now && !j.reading)
+            .filter_map(|(id, j)| {
+                let spec = j.spec()?;
+                let age_s = env.out.wall_ms.saturating_sub(j.spec.submitted.0) as f64 / 1000.0;
+                let late = age_s > placement::hope_s(spec, objectives);
+                let first = !within.contains(id);
+                let priority = std::cmp::Reverse(spec.priority);
+                Some(((first, priority, late, j.spec.submitted.0), id.clone()))
+            })
+            .collect();
+        order.sort();
+        order
+    }
+
+    /// A machine as placement sees it for one job.
+    fn seat(&self, id: &JobId, open: &Open, m: &Machine, env: &Env) -> Seat {
+        let job = self.jobs.get(id);
+        let zone = env.cfg.settings.deployment.zones.get(m.zone);
+        let spec = job.and_then(|j| j.spec());
+        let allowed = spec.is_some_and(|spec| {
+            m.allowed_for(spec, zone) && (!spec.zones_bound() || zone.is_some())
+        }) && (m.error_streak.is_empty()
+            || job.is_some_and(|j| !j.failed_on.contains(&open.name)));
+        let cap = if !allowed {
+            0
+        } else if m.error_streak.is_empty() {
+            u32::MAX
+        } else {
+            // It failed a task and completed none since: one at a time.
+            1u32.saturating_sub(m.listed.len() as u32)
+        };
+        Seat {
+            free: open.free,
+            zone: m.zone,
+            cap,
+            spared: spec.is_some_and(|s| s.spot) && !m.spot,
+            image: job.map_or(Image::Absent, |j| m.image(j.image)),
+        }
+    }
+
+    /// One pass of placement over the waiting jobs.
+    pub(super) fn place(&mut self, env: &mut Env) {
+        let now = env.now();
+        let due = self.dirty && now.since(self.placed_at) >= PASS_GAP_MS;
+        if !due || !self.ready || self.deposed {
+            return;
+        }
+        self.dirty = false;
+        self.placed_at = now;
+        let mut rooms = self.rooms(env);
+        let mut load = Load::default();
+        for m in self.machines.values() {
+            if let Some(kind) = env.types.get(&m.model) {
+                load.capacity.add(kind.room());
+                load.booked.add(m.used);
+            }
+        }
+        self.capacity_cpus = load.capacity.cpus;
+        let waiting = || self.jobs.values().filter(|j| j.waits());
+        let weights = placement::weights(
+            waiting().filter_map(|j| j.spec()),
+            env.cfg.ops.default_run_s,
+            load,
+        );
+        let mut used = self.used();
+        self.short_of.clear();
+        for (_, id) in self.turns(now, env) {
+            self.place_job(&id, &mut rooms, weights, &mut used, now, env);
+        }
+        self.dirty = false;
+        self.free_cpus = rooms.iter().map(|r| r.free.cpus.max(0.0)).sum();
+        let waiting = || self.jobs.values().filter(|j| j.waits());
+        let empty = |spec: &JobSpec, r: &Open| spec.room.fits_in(r.whole);
+        self.waiting_here = waiting().filter_map(|j| j.spec()).any(|spec| {
+            let mut rooms = rooms.iter();
+            rooms.any(|r| empty(spec, r) && self.takes(spec, r, env))
+        });
+        self.waiting_cpus = waiting()
+            .filter_map(|j| Some(j.spec()?.room.cpus * f64::from(j.view.waiting.len())))
+            .sum();
+    }
+
+    /// Starts as many of a job's waiting tasks as limits and room allow.
+    fn place_job(
+        &mut self,
+        id: &JobId,
+        rooms: &mut [Open],
+        weights: Room,
+        used_grant: &mut HashMap<Team, Grant>,
+        now: Millis,
+        env: &Env,
+    ) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let Some(spec) = job.spec() else {
+            return;
+        };
+        let mut want = job.view.waiting.len();
+        if job.failures >= 2 && job.view.finished.is_empty() {
+            // Nothing of it has worked yet: try a single task at a time.
+            want = want.min(1u32.saturating_sub(job.started));
+        }
+        // A share's record must stay under the largest value; a started range costs some 24 bytes.
+        let value_limit = env.cfg.settings.value_bytes() * 8 / 10;
+        let room_in_record = (value_limit / 28).saturating_sub(job.started as usize);
+        want = want.min(room_in_record as u32);
+        if want == 0 {
+            return;
+        }
+        // Only machines with room for a task are looked at.
+        let open: Vec<usize> = (0..rooms.len())
+            .filter(|i| spec.room.fits_in(rooms[*i].free))
+            .collect();
+        let seats: Vec<Seat> = open
+            .iter()
+            .filter_map(|i| {
+                let m = self.machines.get(&rooms[*i].name)?;
+                Some(self.seat(id, &rooms[*i], m, env))
+            })
+            .collect();
+        if seats.len() != open.len() || seats.iter().all(|s| s.cap == 0) {
+            return;
+        }
+        let mut zones = ZoneRule {
+            together: spec.together,
+            most: spec.apart.then(|| spec.tasks.div_ceil(2)),
+            ..ZoneRule::default()
+        };
+        if spec.zones_bound() {
+            for (m, spans) in &job.view.started {
+                let zone = self.machines.get(m).map_or(usize::MAX, |m| m.zone);
+                *zones.held.entry(zone).or_default() += spans.len();
+            }
+        }
+        let (room, team, image) = (spec.room, spec.team.clone(), job.image);
+        let mut chosen = placement::place(room, want, &seats, weights, &mut zones);
+        let granted = self.granted(&team, env);
+        let used = used_grant.entry(team.clone()).or_default();
+        let headroom = Room {
+            cpus: granted.cpus - used.cpus,
+            gpus: granted.gpus - used.gpus,
+            mem: f64::MAX / 4.0,
+        };
+        let covered = Room { mem: 0.0, ..room }.count_in(headroom);
+        // What would fit but is not covered by the grant is asked for; a grant without room
+        // on machines would only be moved to and fro.
+        let fits: u32 = chosen.iter().map(|(_, n)| n).sum();
+        if fits > covered {
+            let lacking = self.short_of.entry(team).or_default();
+            lacking.cpus += room.cpus * f64::from(fits - covered);
+            lacking.gpus += room.gpus * f64::from(fits - covered);
+            let mut left = covered;
+            for (_, n) in &mut chosen {
+                *n = (*n).min(left);
+                left -= *n;
+            }
+        }
+        for (seat, count) in chosen.into_iter().filter(|(_, n)| *n > 0) {
+            let open = &mut rooms[open[seat]];
+            for _ in 0..count {
+                let first = self.jobs.get(id).and_then(|j| j.view.waiting.first());
+                let Some((task, attempt)) = first else {
+                    break;
+                };
+                let step = Step {
+                    task,
+                    attempt,
+                    machine: open.name.clone(),
+                    what: StepKind::Start,
+                };
+                if !self.step(now, id, step) {
+                    break;
+                }
+                open.free.sub(room);
+                used.cpus += room.cpus;
+                used.gpus += room.gpus;
+            }
+            if let Some(m) = self.machines.get_mut(&open.name) {
+                m.idle_since = None;
+                if !m.images.contains(&image) {
+                    m.coming.insert(image);
+                }
+            }
+        }
+    }
+}
+
+/// The jobs that fit into their team's guarantee together with the team's earlier unfinished ones.
+fn within_guarantee(env: &Env) -> HashSet<JobId> {
+    let mut open: Vec<(WallMs, &JobId, &JobSpec)> = env
+        .mirror
+        .jobs
+        .iter()
+        .filter(|(_, r)| r.value.state == JobState::Open)
+        .filter_map(|(id, r)| Some((r.value.submitted, id, r.value.spec.as_ref()?)))
+        .collect();
+    open.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
+    let mut left: HashMap<&str, Room> = env
+        .cfg
+        .settings
+        .deployment
+        .teams
+        .iter()
+        .map(|t| {
+            let room = Room {
+                cpus: t.cpus,
+                gpus: t.gpus,
+                mem: f64::MAX / 4.0,
+            };
+            (t.name.as_str(), room)
+        })
+        .collect();
+    let mut within = HashSet::new();
+    for (_, id, spec) in open {
+        if let Some(left) = left.get_mut(spec.team.as_str()) {
+            let whole = spec.room.times(f64::from(spec.tasks));
+            if whole.fits_in(*left) {
+                within.insert(id.clone());
+            }
+            left.sub(whole);
+        }
+    }
+    within
+}
--- /dev/null
+++ b/src/coordination/shard/quota.rs
@@ -0,0 +1,196 @@
+//! A team's limit, divided into grants by part: asked for, given up, and never overdrawn.
+
+use super::Shard;
+use crate::bookkeeping::records::{Grant, JobState, QuotaRecord, part_key, quota_key};
+use crate::bookkeeping::store::{Class, TxnResult};
+use crate::coordination::env::{Env, Tag};
+use crate::ids::{Millis, PartId, Team, Version};
+use crate::protocol::state::{Change, Txn};
+use std::collections::{BTreeSet, HashMap};
+
+/// The least time between two moves of a team's grant by one part.
+const QUOTA_GAP_MS: u64 = 400;
+
+#[derive(Default)]
+pub(super) struct QuotaState {
+    /// Lowered grant that a write may have made durable.
+    ceiling: Option<Grant>,
+    retry_at: Millis,
+}
+
+impl Shard {
+    /// What the teams use here, as far as it is not proven gone.
+    pub(super) fn used(&mut self) -> HashMap<Team, Grant> {
+        self.freshen();
+        let mut used: HashMap<Team, Grant> = HashMap::new();
+        let started = self.jobs.values().map(|j| (j, j.started));
+        // Tasks on machines that no record holds there still use the team's limit.
+        let strays = self.machines.values().flat_map(|m| &m.strays);
+        let strays = strays.filter_map(|id| Some((self.jobs.get(id)?, 1)));
+        for (job, count) in started.chain(strays) {
+            if count > 0
+                && let Some(spec) = job.spec()
+            {
+                let entry = used.entry(spec.team.clone()).or_default();
+                entry.cpus += spec.room.cpus * f64::from(count);
+                entry.gpus += spec.room.gpus * f64::from(count);
+            }
+        }
+        used
+    }
+
+    pub(super) fn granted(&self, team: &Team, env: &Env) -> Grant {
+        let durable = env
+            .mirror
+            .quotas
+            .get(team)
+            .and_then(|q| q.value.grants.get(&self.part).copied())
+            .unwrap_or_default();
+        match self.quota.get(team).and_then(|q| q.ceiling) {
+            Some(c) => Grant {
+                cpus: durable.cpus.min(c.cpus),
+                gpus: durable.gpus.min(c.gpus),
+            },
+            None => durable,
+        }
+    }
+    pub(super) fn tend_quota(&mut self, others_short: &BTreeSet<Team>, env: &mut Env) {
+        let now = env.now();
+        if self.quota_flight.is_some() || !self.ready || self.deposed {
+            return;
+        }
+        let used = self.used();
+        for limits in &env.cfg.settings.deployment.teams {
+            let team = Team::new(&limits.name);
+            if self.quota.get(&team).is_some_and(|q| q.retry_at > now) {
+                continue;
+            }
+            let limit = Grant {
+                cpus: limits.cpus_max,
+                gpus: limits.gpus_max,
+            };
+            let used = used.get(&team).copied().unwrap_or_default();
+            let (version, record) = match env.mirror.quotas.get(&team) {
+                Some(v) => (v.version, (*v.value).clone()),
+                None => (Version(0), QuotaRecord::default()),
+            };
+            let durable = record.grants.get(&self.part).copied().unwrap_or_default();
+            let unsettled = self.quota.get(&team).is_some_and(|q| q.ceiling.is_some());
+            let short = self.short_of.get(&team).copied();
+            let mut wish = match short {
+                Some(lack) => Grant {
+                    cpus: used.cpus + lack.cpus,
+                    gpus: used.gpus + lack.gpus,
+                },
+                None => durable,
+            };
+            if others_short.contains(&team) {
+                // Another part could start more: keep what is used and, if this part waits too, a
+                // share by demand. With other shares one part's tasks of a job lag behind the rest.
+                let share = demand_share(&team, self.part, env);
+                let fair = match short {
+                    Some(lack) => Grant {
+                        cpus: (limit.cpus * share).min(used.cpus + lack.cpus),
+                        gpus: (limit.gpus * share).min(used.gpus + lack.gpus),
+                    },
+                    None => Grant::default(),
+                };
+                wish = Grant {
+                    cpus: used.cpus.max(fair.cpus),
+                    gpus: used.gpus.max(fair.gpus),
+                };
+            }
+            let next = record.regrant(self.part, wish, used, limit);
+            let granted = next.grants.get(&self.part).copied().unwrap_or_default();
+            let same = (granted.cpus - durable.cpus).abs() < 0.5
+                && (granted.gpus - durable.gpus).abs() < 0.5;
+            if same && !unsettled {
+                continue;
+            }
+            if !env.store.may(now, Class::Starts, 1) {
+                return;
+            }
+            let lowers = granted.cpus < durable.cpus || granted.gpus < durable.gpus || unsettled;
+            let key = quota_key(&team);
+            let txn = Txn::default()
+                .when(part_key(self.part), Version(self.token.0))
+                .when(key.clone(), version)
+                .then(Change::write(key, &next));
+            let state = self.quota.entry(team.clone()).or_default();
+            if lowers {
+                // From here on no more than this is used, whatever becomes of the write.
+                state.ceiling = Some(match state.ceiling {
+                    Some(c) => Grant {
+                        cpus: c.cpus.min(granted.cpus),
+                        gpus: c.gpus.min(granted.gpus),
+                    },
+                    None => granted,
+                });
+            }
+            env.store
+                .txn(env.out, Tag::QuotaTxn(self.part, self.token), &txn);
+            self.quota_flight = Some((team, next));
+            return;
+        }
+    }
+
+    pub fn quota_done(&mut self, result: TxnResult, env: &mut Env) {
+        let now = env.now();
+        let Some((team, value)) = self.quota_flight.take() else {
+            return;
+        };
+        let key = quota_key(&team);
+        let state = self.quota.entry(team).or_default();
+        match result {
+            TxnResult::Done(revision) => {
+                state.ceiling = None;
+                // The same grant is not moved again at once: every move is a write.
+                state.retry_at = now.plus(QUOTA_GAP_MS);
+                let value = serde_json::to_value(value).unwrap_or_default();
+                env.mirror.apply(&key, Some(&value), revision);
+                self.dirty = true;
+            }
+            TxnResult::Conflict(keys) => {
+                if keys.contains(&part_key(self.part)) {
+                    self.deposed = true;
+                    return;
+                }
+                state.retry_at = now.plus(100);
+                let tag = Tag::QuotaRead(self.part, self.token, key.clone());
+                env.store.get(env.out, tag, &key, 1_500);
+            }
+            TxnResult::NotDone | TxnResult::NoLease => state.retry_at = now.plus(500),
+            TxnResult::Unknown => {
+                // A lowered grant stays lowered until a later write settles the key.
+                state.retry_at = now.plus(500);
+                let tag = Tag::QuotaRead(self.part, self.token, key.clone());
+                env.store.get(env.out, tag, &key, 1_500);
+            }
+        }
+    }
+}
+
+/// This part's share of what a team's jobs have unfinished, over all parts.
+fn demand_share(team: &Team, part: PartId, env: &Env) -> f64 {
+    let (mut mine, mut all) = (0.0, 0.0);
+    for ((p, id), alloc) in &env.mirror.allocs {
+        let Some(record) = env.mirror.jobs.get(id) else {
+            continue;
+        };
+        if let (JobState::Open, Some(spec)) = (record.value.state, &record.value.spec)
+            && spec.team == *team
+        {
+            let tasks = alloc.value.waiting.len() + alloc.value.started_count();
+            let cpus = spec.room.cpus * f64::from(tasks);
+            all += cpus;
+            if *p == part {
+                mine += cpus;
+            }
+        }
+    }
+    if all > 0.0 {
+        mine / all
+    } else {
+        1.0 / f64::from(env.cfg.parts)
+    }
+}
--- /dev/null
+++ b/src/coordination/shard/reports.rs
@@ -0,0 +1,437 @@
+//! Workers' reports: what they prove, and the commands that their answers carry.
+
+use super::machine::{Held, Machine, OnMachine};
+use super::{Shard, requeue};
+use crate::bookkeeping::records::{Kind, Step, StepKind};
+use crate::coordination::env::Env;
+use crate::ids::{Attempt, ConnId, JobId, MachineId, Millis, TaskNo, seconds_to_ms};
+use crate::outbox::Response;
+use crate::protocol::worker::{Answer, Command, Report, TaskRef, TaskState, Why};
+use std::collections::BTreeSet;
+
+/// Most commands in one answer: keeps it under the 64 KiB that a worker accepts.
+const MAX_COMMANDS: usize = 400;
+
+impl Shard {
+    /// Handles a worker's report. The caller has checked that this owner may answer.
+    pub fn check_in(&mut self, conn: ConnId, report: Report, env: &mut Env) {
+        let now = env.now();
+        if report.token > self.token {
+            tracing::info!(part = %self.part, token = %self.token, seen = %report.token,
+                machine = %report.machine, "a worker has seen a higher token: deposed");
+            self.deposed = true;
+            env.out.respond(
+                conn,
+                Response::new(421, crate::protocol::worker::redirect(None)),
+            );
+            return;
+        }
+        if self.gone.contains(&report.machine) {
+            // Guards against a late report of a machine whose return was confirmed.
+            env.out
+                .respond(conn, Response::later(503, "this machine was returned", 5));
+            return;
+        }
+        if !self.ready {
+            self.answer(conn, Vec::new(), env);
+            return;
+        }
+        let zone = env
+            .cfg
+            .settings
+            .deployment
+            .zones
+            .iter()
+            .position(|z| *z == report.zone)
+            .unwrap_or(usize::MAX);
+        let name = report.machine.clone();
+        let machine = self
+            .machines
+            .entry(name.clone())
+            .or_insert_with(|| Machine::unknown(now));
+        if machine.reported && (report.session, report.seq) <= (machine.session, machine.seq) {
+            // Late or repeated: a newer one has settled what this one says.
+            self.answer(conn, Vec::new(), env);
+            return;
+        }
+        let new_session = machine.reported && report.session > machine.session;
+        if !machine.reported {
+            tracing::info!(machine = %name, part = %self.part, model = %report.model,
+                session = report.session.0, "machine reports");
+            self.dirty = true;
+        }
+        if new_session {
+            tracing::info!(machine = %name, session = report.session.0, "new session: its tasks are gone");
+            machine.coming.clear();
+        }
+        machine.model = report.model;
+        machine.zone = zone;
+        machine.spot = report.spot;
+        machine.session = report.session;
+        machine.seq = report.seq;
+        machine.heard = now;
+        machine.reported = true;
+        let shown = report.token == self.token;
+        if machine.shown != shown {
+            machine.shown = shown;
+            self.dirty = true;
+        }
+        machine.notice_until = report.notice_s.map(|s| now.plus(seconds_to_ms(s)));
+        machine.listed = report
+            .tasks
+            .into_iter()
+            .map(|t| OnMachine {
+                task: t.task,
+                attempt: t.attempt,
+                state: t.state,
+                why: t.why,
+            })
+            .collect();
+        machine.stale = true;
+        if let Some(old) = machine.held.take() {
+            // The worker has given that request up.
+            env.out
+                .respond(old.conn, Response::new(200, self.answer_body(&[])));
+        }
+        if new_session && shown {
+            // A higher session proves that everything of the earlier one is gone, and the token
+            // that no earlier owner can start it in the new one.
+            self.requeue_unlisted(&name, now);
+        }
+        if shown {
+            self.settle(&name, now, env);
+        }
+        self.place(env);
+        let since = now;
+        let deadline = now.plus(env.cfg.ops.hold_ms);
+        let held = Held {
+            conn,
+            since,
+            deadline,
+        };
+        if self.worth_waiting(&name, &held, now) {
+            if let Some(machine) = self.machines.get_mut(&name) {
+                machine.held = Some(held);
+            }
+            self.flush(env);
+        } else {
+            let commands = self.commands(&name, now, env);
+            self.answer(conn, commands, env);
+        }
+    }
+
+    /// Whether an answer should wait: a start is about to be durable, or a pass of placement that
+    /// may use this machine is due.
+    fn worth_waiting(&self, name: &MachineId, held: &Held, now: Millis) -> bool {
+        let Some(machine) = self.machines.get(name) else {
+            return false;
+        };
+        if now >= held.deadline || !machine.shown || machine.returning {
+            return false;
+        }
+        let pass_due = self.dirty && self.placed_at <= held.since && self.waiting_here;
+        self.awaits_start(name) || (pass_due && machine.notice_until.is_none() && !machine.draining)
+    }
+
+    fn answer_body(&self, commands: &[Command]) -> Vec<u8> {
+        serde_json::to_vec(&Answer {
+            token: self.token,
+            commands: commands.to_vec(),
+        })
+        .unwrap_or_default()
+    }
+
+    fn answer(&self, conn: ConnId, commands: Vec<Command>, env: &mut Env) {
+        let body = self.answer_body(&commands);
+        env.out.respond(conn, Response::new(200, body));
+    }
+
+    /// Draws what the newest report proves. The machine has shown this owner's token.
+    fn settle(&mut self, name: &MachineId, now: Millis, env: &Env) {
+        let Some(machine) = self.machines.get(name) else {
+            return;
+        };
+        let listed = machine.listed.clone();
+        for item in &listed {
+            let job = &item.task.job;
+            let ours = self
+                .jobs
+                .get(job)
+                .and_then(|j| j.view.started_on(name, item.task.task))
+                == Some(item.attempt);
+            if item.state == TaskState::Running
+                && let Some(image) = self.jobs.get(job).map(|j| j.image)
+                && let Some(m) = self.machines.get_mut(name)
+                && m.images.insert(image)
+            {
+                m.coming.remove(&image);
+            }
+            if !ours || item.state != TaskState::Exited {
+                continue;
+            }
+            let step = |what| Step {
+                task: item.task.task,
+                attempt: item.attempt,
+                machine: name.clone(),
+                what,
+            };
+            match item.why {
+                Some(Why::Done) => {
+                    let batch = self
+                        .jobs
+                        .get(job)
+                        .and_then(|j| j.spec())
+                        .is_some_and(|s| s.kind == Kind::Batch);
+                    let what = if batch {
+                        StepKind::Finish
+                    } else {
+                        StepKind::Requeue
+                    };
+                    self.step(now, job, step(what));
+                    if let Some(m) = self.machines.get_mut(name) {
+                        m.error_streak.clear();
+                    }
+                    if let Some(j) = self.jobs.get_mut(job) {
+                        j.failures = 0;
+                    }
+                }
+                Some(Why::Error) => {
+                    self.step(now, job, step(StepKind::Requeue));
+                    self.blame(name, job, now);
+                }
+                Some(Why::Full) | Some(Why::InUse) => {
+                    self.step(now, job, step(StepKind::Requeue));
+                    if let Some(m) = self.machines.get_mut(name) {
+                        m.full_until = now.plus(2 * env.cfg.settings.report_ms());
+                    }
+                }
+                Some(Why::Unknown) => {
+                    self.step(now, job, step(StepKind::Requeue));
+                    if let Some(j) = self.jobs.get_mut(job) {
+                        j.retry_at = now.plus(2_000);
+                    }
+                }
+                Some(Why::Stopped) | None => {
+                    self.step(now, job, step(StepKind::Requeue));
+                }
+            }
+        }
+        // Not listed in a report newer than any answer that could have carried the command: not
+        // there. It is commanded again below, unless the job is over or the machine is not to
+        // take it any more.
+        let unwanted = self
+            .machines
+            .get(name)
+            .is_some_and(|m| m.draining || m.returning || m.notice_until.is_some());
+        let absent: Vec<(JobId, TaskNo, Attempt)> = self
+            .unlisted(name)
+            .into_iter()
+            .filter(|(job, task, attempt)| {
+                self.jobs.get(job).is_some_and(|j| {
+                    (unwanted || j.cancelled())
+                        && j.durable.started_on(name, *task) == Some(*attempt)
+                })
+            })
+            .collect();
+        for (job, task, attempt) in absent {
+            self.step(now, &job, requeue(name, task, attempt));
+        }
+        self.track_idle(name, now);
+    }
+
+    fn track_idle(&mut self, name: &MachineId, now: Millis) {
+        let busy = self.holds_tasks(name);
+        if let Some(m) = self.machines.get_mut(name) {
+            if busy || m.lists_tasks() {
+                m.idle_since = None;
+            } else if m.idle_since.is_none() {
+                m.idle_since = Some(now);
+            }
+        }
+    }
+
+    /// Tasks held by the picture on this machine that its newest report does not list.
+    fn unlisted(&self, name: &MachineId) -> Vec<(JobId, TaskNo, Attempt)> {
+        let Some(machine) = self.machines.get(name) else {
+            return Vec::new();
+        };
+        let listed = |id: &JobId, task: TaskNo, attempt: Attempt| {
+            let mut tasks = machine.listed.iter();
+            tasks.any(|t| t.task.task == task && t.attempt == attempt && t.task.job == *id)
+        };
+        let mut found = Vec::new();
+        for (id, job) in self.jobs_on(name) {
+            for (task, attempt) in job
+                .view
+                .started
+                .get(name)
+                .into_iter()
+                .flat_map(|s| s.iter())
+            {
+                if !listed(id, task, attempt) {
+                    found.push((id.clone(), task, attempt));
+                }
+            }
+        }
+        found
+    }
+
+    fn requeue_unlisted(&mut self, name: &MachineId, now: Millis) {
+        for (job, task, attempt) in self.unlisted(name) {
+            let durable = self
+                .jobs
+                .get(&job)
+                .is_some_and(|j| j.durable.started_on(name, task) == Some(attempt));
+            if durable {
+                self.step(now, &job, requeue(name, task, attempt));
+            }
+        }
+    }
+
+    /// A task failed. A machine is to blame when different jobs fail on it, or when one fails that
+    /// works elsewhere; a job that fails on several machines is held back instead.
+    fn blame(&mut self, name: &MachineId, job: &JobId, now: Millis) {
+        let Some(entry) = self.jobs.get_mut(job) else {
+            return;
+        };
+        entry.failures += 1;
+        entry.failed_on.insert(name.clone());
+        let works = !entry.view.finished.is_empty();
+        let spread = entry.failed_on.len();
+        if !works && spread >= 2 {
+            let wait = 1_000u64 << entry.failures.min(5);
+            entry.retry_at = now.plus(wait);
+            tracing::info!(job = %job, machines = spread, wait_ms = wait, "job fails on several machines");
+        }
+        if let Some(m) = self.machines.get_mut(name) {
+            m.error_streak.push(job.clone());
+            let distinct: BTreeSet<&JobId> = m.error_streak.iter().collect();
+            let guilty = distinct.len() >= 2 || (works && m.error_streak.len() >= 2);
+            if guilty && !m.draining {
+                m.draining = true;
+                tracing::info!(machine = %name, jobs = distinct.len(), "machine fails its tasks: drained");
+            }
+        }
+    }
+
+    fn commands(&self, name: &MachineId, now: Millis, env: &Env) -> Vec<Command> {
+        let Some(machine) = self.machines.get(name) else {
+            return Vec::new();
+        };
+        if !machine.shown {
+            // An earlier owner might still command it: only the token goes out.
+            return Vec::new();
+        }
+        let report_ms = env.cfg.settings.report_ms();
+        let mut commands = Vec::new();
+        for item in &machine.listed {
+            let task = item.task.clone();
+            let attempt = item.attempt;
+            let job = self.jobs.get(&task.job);
+            let viewed = job.and_then(|j| j.view.started_on(name, task.task)) == Some(attempt);
+            let durable = job.and_then(|j| j.durable.started_on(name, task.task)) == Some(attempt);
+            if item.state == TaskState::Exited {
+                // Only when its end is durable: a repeated start would run it once more.
+                if !viewed && !durable {
+                    commands.push(Command::Reap { task, attempt });
+                }
+                continue;
+            }
+            let stray = !viewed && !durable;
+            let cancelled = job.is_some_and(|j| j.cancelled());
+            if stray || cancelled {
+                commands.push(Command::Halt {
+                    task,
+                    attempt,
+                    grace_s: 0.0,
+                });
+                continue;
+            }
+            if item.state == TaskState::Saving {
+                continue;
+            }
+            let spec = job.and_then(|j| j.spec());
+            let (saves, save_s) = spec.map_or((false, 0.0), |s| (s.checkpoint_s > 0.0, s.save_s));
+            if let Some(until) = machine.notice_until {
+                let left = until.0.saturating_sub(now.0);
+                let late = left <= seconds_to_ms(save_s) + 2 * report_ms;
+                if item.state == TaskState::Pulling || (saves && late) {
+                    commands.push(Command::Halt {
+                        task,
+                        attempt,
+                        grace_s: save_s,
+                    });
+                }
+            } else if machine.draining {
+                commands.push(Command::Halt {
+                    task,
+                    attempt,
+                    grace_s: save_s,
+                });
+            }
+        }
+        if !machine.draining && !machine.returning && machine.notice_until.is_none() {
+            for (job, task, attempt) in self.unlisted(name) {
+                let go = self.jobs.get(&job).is_some_and(|j| {
+                    !j.cancelled() && j.durable.started_on(name, task) == Some(attempt)
+                });
+                if go {
+                    commands.push(Command::Run {
+                        task: TaskRef { job, task },
+                        attempt,
+                    });
+                }
+            }
+        }
+        commands.truncate(MAX_COMMANDS);
+        commands
+    }
+
+    /// Whether the picture has starts on this machine that are not durable yet.
+    fn awaits_start(&self, name: &MachineId) -> bool {
+        self.jobs_on(name).any(|(_, j)| {
+            let durable = j.durable.started.get(name);
+            j.view.started.get(name).is_some_and(|v| match durable {
+                Some(d) => d != v && v.iter().any(|(task, a)| d.get(task) != Some(a)),
+                None => true,
+            })
+        })
+    }
+
+    /// Whether the picture has tasks on this machine.
+    pub(super) fn holds_tasks(&self, name: &MachineId) -> bool {
+        self.on.contains_key(name)
+    }
+
+    /// Answers the workers whose start is committed or who cannot wait any longer.
+    pub(super) fn answer_held(&mut self, env: &mut Env) {
+        let now = env.now();
+        let held: Vec<(MachineId, Held)> = self
+            .machines
+            .iter()
+            .filter_map(|(n, m)| m.held.map(|h| (n.clone(), h)))
+            .collect();
+        for (name, held) in held {
+            if self.worth_waiting(&name, &held, now) {
+                continue;
+            }
+            if let Some(m) = self.machines.get_mut(&name) {
+                m.held = None;
+            }
+            let commands = self.commands(&name, now, env);
+            self.answer(held.conn, commands, env);
+        }
+    }
+
+    /// Lets go of every worker that waits: this owner may not answer any more.
+    pub fn drop_held(&mut self, env: &mut Env) {
+        for machine in self.machines.values_mut() {
+            if let Some(held) = machine.held.take() {
+                env.out.respond(
+                    held.conn,
+                    Response::new(421, crate::protocol::worker::redirect(None)),
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/shard/returns.rs
@@ -0,0 +1,101 @@
+//! Machines that are given back: idle, silent, noticed or faulty ones.
+
+use super::{Shard, requeue};
+use crate::coordination::env::{CloudTag, Env};
+use crate::ids::{Attempt, JobId, MachineId, TaskNo, seconds_to_ms};
+use crate::outbox::Response;
+use std::collections::BTreeSet;
+
+/// Names of returned machines that are remembered, to know late reports by.
+const TOMBSTONES: usize = 4_000;
+
+impl Shard {
+    pub(super) fn tend_machines(&mut self, missing: &BTreeSet<MachineId>, env: &mut Env) {
+        let now = env.now();
+        let lease_ms = env.cfg.settings.lease_ms();
+        let report_ms = env.cfg.settings.report_ms();
+        let idle_ms = seconds_to_ms(env.cfg.ops.idle_release_s);
+        let waiting = self.waiting_here;
+        let mut back: Vec<MachineId> = Vec::new();
+        let names: Vec<MachineId> = self.machines.keys().cloned().collect();
+        for name in names {
+            let busy = self.holds_tasks(&name);
+            let Some(m) = self.machines.get_mut(&name) else {
+                continue;
+            };
+            if m.returning {
+                back.push(name);
+                continue;
+            }
+            let silent = now.since(m.heard);
+            let noticed = m.notice_until.is_some_and(|u| u < now);
+            // Silence alone is no proof, nor is a missing name; both together make it likely enough
+            // to return the machine, and only the confirmed return frees its tasks.
+            let limit = if noticed || missing.contains(&name) {
+                2 * report_ms
+            } else {
+                lease_ms + 2 * report_ms
+            };
+            let listed = m.lists_tasks();
+            let spent = m.draining && !busy && !listed;
+            let idle = !busy
+                && !listed
+                && !waiting
+                && m.idle_since.is_some_and(|since| now.since(since) > idle_ms);
+            if silent > limit || spent || idle {
+                tracing::info!(machine = %name, part = %self.part, silent_ms = silent, spent, idle,
+                    "machine is returned");
+                m.returning = true;
+                back.push(name);
+            }
+        }
+        if !back.is_empty() && !self.releasing && env.cloud.may(now) {
+            back.truncate(100);
+            self.releasing = true;
+            env.cloud.release(
+                env.out,
+                CloudTag::PartRelease(self.part, self.token, back.clone()),
+                &back,
+            );
+        }
+    }
+
+    /// The cloud confirmed that these machines, and all that was on them, are gone.
+    pub fn returned(&mut self, machines: &[MachineId], confirmed: bool, env: &mut Env) {
+        self.releasing = false;
+        if !confirmed {
+            return;
+        }
+        let now = env.now();
+        for name in machines {
+            if let Some(m) = self.machines.remove(name)
+                && let Some(held) = m.held
+            {
+                env.out.respond(
+                    held.conn,
+                    Response::later(503, "this machine was returned", 5),
+                );
+            }
+            if self.gone.insert(name.clone()) {
+                self.gone_order.push_back(name.clone());
+                if self.gone_order.len() > TOMBSTONES
+                    && let Some(old) = self.gone_order.pop_front()
+                {
+                    self.gone.remove(&old);
+                }
+            }
+            let held: Vec<(JobId, TaskNo, Attempt)> = self
+                .jobs_on(name)
+                .flat_map(|(id, j)| {
+                    let spans = j.view.started.get(name).into_iter();
+                    spans
+                        .flat_map(|s| s.iter())
+                        .map(|(t, a)| (id.clone(), t, a))
+                })
+                .collect();
+            for (job, task, attempt) in held {
+                self.step(now, &job, requeue(name, task, attempt));
+            }
+        }
+    }
+}
