--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -1,13 +1,13 @@
 //! The leader's fleet: what is listed, what to rent, what to return.
 
 use super::env::{CloudClient, CloudTag, Env};
-use crate::bookkeeping::records::{JobSpec, JobState, Room};
+use super::placement::patience_s;
+use crate::bookkeeping::records::{JobState, Room};
 use crate::ids::{MachineId, Millis, Token, seconds_to_ms};
 use crate::outbox::{CallResult, Method, Outbox};
 use crate::protocol::cloud::{
     ListAnswer, Listed, ListedState, MachineType, RentAnswer, TypesAnswer, rent_body,
 };
-use crate::settings::Settings;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A kind of machine in a place: what one rental request asks for.
@@ -183,23 +183,6 @@
     rent
 }
 
-/// How long the tasks of a job may wait, by the aims for its class and its deadline.
-fn patience_s(spec: &JobSpec, settings: &Settings) -> f64 {
-    let aims = settings
-        .deployment
-        .objectives
-        .iter()
-        .filter(|o| o.kind == "wait" && o.class.as_deref() == Some(spec.class.as_str()))
-        .filter_map(|o| o.within_s);
-    let deadline = spec.deadline_s.map(|d| (d - spec.estimate_s).max(1.0));
-    let least = aims.chain(deadline).fold(f64::INFINITY, f64::min);
-    if least.is_finite() {
-        least
-    } else {
-        spec.estimate_s.max(30.0)
-    }
-}
-
 impl Fleet {
     pub fn new(token: Token, rps: f64, now: Millis) -> Fleet {
         Fleet {
@@ -455,7 +438,8 @@
                     zone: spec.zone.clone(),
                     spot: spec.spot,
                     estimate_s: super::placement::estimate(spec, env.cfg.ops.default_run_s),
-                    patience_s: env.cfg.ops.dear_patience * patience_s(spec, &env.cfg.settings),
+                    patience_s: env.cfg.ops.dear_patience
+                        * patience_s(spec, &env.cfg.settings.deployment.objectives),
                 });
             }
         }
--- a/src/coordination/gateway.rs
+++ b/src/coordination/gateway.rs
@@ -99,44 +99,47 @@
 }
 
 /// Divides a job over parts by their free room, over no more of them than its tasks need: every
-/// share costs its own record and several writes.
+/// share costs its own record and several writes. Jobs with the same image prefer the same parts,
+/// so that a part's machines need few images; `fetch_s` is what a fetch of this one takes.
 pub fn split(
     job: &JobId,
     spec: &JobSpec,
+    fetch_s: f64,
     parts: u32,
     rooms: &BTreeMap<PartId, PartRoom>,
 ) -> Vec<(PartId, Spans)> {
     let known = |p: u32| rooms.get(&PartId(p)).copied().unwrap_or_default();
     let room = |p: u32| known(p).free.max(0.0);
-    let first = part_of(job.as_str(), parts).0;
-    let ring = || (0..parts).map(move |i| (first + i) % parts);
     if spec.kind == Kind::Standing || spec.zones_bound() || spec.tasks == 1 || parts == 1 {
-        let best = ring().max_by(|a, b| room(*a).total_cmp(&room(*b)));
+        let first = part_of(job.as_str(), parts).0;
+        let ring = (0..parts).map(|i| (first + i) % parts);
+        let best = ring.max_by(|a, b| room(*a).total_cmp(&room(*b)));
         let part = PartId(best.unwrap_or(first));
         return vec![(part, Spans::range(0, spec.tasks, 1))];
     }
     let size = spec.room.cpus.max(0.01);
+    let home = part_of(&spec.image, parts).0;
+    // How long `tasks` more would wait in a part, and how far it is from the image's home.
+    let cost = |p: u32, tasks: u32| {
+        let ahead = known(p).waiting + f64::from(tasks) * size - room(p);
+        let rounds = ahead.max(0.0) / known(p).capacity.max(size);
+        rounds * spec.estimate_s + fetch_s * f64::from((p + parts - home) % parts)
+    };
+    let mut order: Vec<(f64, u32)> = (0..parts).map(|p| (cost(p, spec.tasks), p)).collect();
+    order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
     let mut rest = spec.tasks;
     let mut counts: BTreeMap<u32, u32> = BTreeMap::new();
-    let mut by_room: Vec<u32> = ring().collect();
-    by_room.sort_by(|a, b| room(*b).total_cmp(&room(*a)));
-    for p in by_room {
-        let fit = ((room(p) / size) as u32).min(rest);
-        if rest == 0 || fit.saturating_mul(LEAST_SHARE) < rest {
-            break;
+    for (_, p) in &order {
+        let fit = ((room(*p) / size) as u32).min(rest);
+        if fit > 0 && fit.saturating_mul(LEAST_SHARE) >= rest {
+            counts.insert(*p, fit);
+            rest -= fit;
         }
-        counts.insert(p, fit);
-        rest -= fit;
     }
     if rest > 0 {
-        // What waits goes where it waits least: the shortest queue for its capacity.
-        let wait = |p: u32| {
-            let taken = f64::from(counts.get(&p).copied().unwrap_or(0)) * size;
-            let ahead = known(p).waiting + taken - room(p);
-            (ahead + f64::from(rest) * size) / known(p).capacity.max(size)
-        };
-        let best = ring().min_by(|a, b| wait(*a).total_cmp(&wait(*b)));
-        *counts.entry(best.unwrap_or(first)).or_default() += rest;
+        // What waits goes where it waits least.
+        let best = order.first().map_or(home, |(_, p)| *p);
+        *counts.entry(best).or_default() += rest;
     }
     let mut at = 0;
     let mut shares = Vec::new();
@@ -147,6 +150,13 @@
     shares
 }
 
+/// How long a machine of the slowest kind fetches an image.
+fn fetch_s(spec: &JobSpec, env: &Env) -> f64 {
+    let rates = env.types.values().map(|t| t.fetch_gb_per_s);
+    let slowest = rates.filter(|r| *r > 0.0).fold(f64::INFINITY, f64::min);
+    spec.pull_gb / slowest
+}
+
 impl Gateway {
     pub fn submit(&mut self, conn: ConnId, body: &[u8], env: &mut Env) {
         let (job, spec) = match user::parse_submission(body) {
@@ -230,7 +240,10 @@
         let mut written = Vec::new();
         let mut bytes = 0;
         while let Some(accept) = self.queue.front() {
-            let mut shares = split(&accept.job, &accept.spec, env.cfg.parts, &rooms);
+            let mut shares = {
+                let fetch_s = fetch_s(&accept.spec, env);
+                split(&accept.job, &accept.spec, fetch_s, env.cfg.parts, &rooms)
+            };
             if shares.len() + 1 > max_ops {
                 let (part, _) = shares[0];
                 shares = vec![(part, Spans::range(0, accept.spec.tasks, 1))];
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 pub mod env;
 pub mod fleet;
 pub mod gateway;
+pub mod images;
 pub mod ownership;
 pub mod peers;
 pub mod placement;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -39,6 +39,21 @@
         .unwrap_or(f64::INFINITY)
 }
 
+/// How long the tasks of a job may wait, by the aims for its class and its deadline.
+pub fn patience_s(spec: &JobSpec, objectives: &[Objective]) -> f64 {
+    let aims = objectives
+        .iter()
+        .filter(|o| o.kind == "wait" && o.class.as_deref() == Some(spec.class.as_str()))
+        .filter_map(|o| o.within_s);
+    let deadline = spec.deadline_s.map(|d| (d - spec.estimate_s).max(1.0));
+    let least = aims.chain(deadline).fold(f64::INFINITY, f64::min);
+    if least.is_finite() {
+        least
+    } else {
+        spec.estimate_s.max(30.0)
+    }
+}
+
 /// The criticality of each resource.
 pub fn weights<'a>(queued: impl Iterator<Item = &'a JobSpec>, default_s: f64, load: Load) -> Room {
     let mut sum = Room::default();
@@ -85,6 +100,8 @@
     pub cap: u32,
     /// What it would cost to have the image here.
     pub image: Image,
+    /// Images being fetched here, which share one line.
+    pub fetches: usize,
 }
 
 pub fn rank(weights: Room, free: Room, task: Room, want: u32) -> f64 {
@@ -118,8 +135,8 @@
 /// Chooses seats for up to `want` tasks: pairs of seat and count, in the order of rank.
 /// Two exceptions to that order: machines that jobs with fewer choices need go last (as the paper's
 /// Balanced heuristic does with critical resources), and machines that have the image, or are
-/// fetching it, go first, since a fetch often takes longer than the task. Between equals the one
-/// that takes more goes first.
+/// fetching it, go first, since a fetch often takes longer than the task; where it must be fetched,
+/// those with fewer other fetches. Between equals the one that takes more goes first.
 pub fn place(
     task: Room,
     want: u32,
@@ -134,7 +151,12 @@
         .map(|(i, seat)| {
             let fit = task.count_in(seat.free).min(want);
             let rank = rank(weights, seat.free, task, want);
-            ((seat.spared, seat.image), rank, std::cmp::Reverse(fit), i)
+            let fetches = match seat.image {
+                Image::Cached => 0,
+                Image::Coming | Image::Absent => seat.fetches,
+            };
+            let first = (seat.spared, seat.image, fetches);
+            (first, rank, std::cmp::Reverse(fit), i)
         })
         .collect();
     order.sort_by(|a, b| {
--- a/src/coordination/shard/machine.rs
+++ b/src/coordination/shard/machine.rs
@@ -1,10 +1,10 @@
 //! A machine as its part's owner pictures it.
 
 use crate::bookkeeping::records::{JobSpec, Room};
+use crate::coordination::images::Images;
 use crate::coordination::placement::Image;
 use crate::ids::{Attempt, ConnId, JobId, Millis, Seq, Session};
 use crate::protocol::worker::{TaskRef, TaskState, Why};
-use std::collections::BTreeSet;
 
 #[derive(Clone)]
 pub(super) struct OnMachine {
@@ -38,9 +38,7 @@
     pub held: Option<Held>,
     pub idle_since: Option<Millis>,
     /// By the numbers that the part gives to images.
-    pub images: BTreeSet<u32>,
-    /// Images that tasks placed here wait for.
-    pub coming: BTreeSet<u32>,
+    pub images: Images,
     /// Jobs whose tasks failed here since a task last completed here.
     pub error_streak: Vec<JobId>,
     pub draining: bool,
@@ -63,9 +61,9 @@
     }
 
     pub fn image(&self, image: u32) -> Image {
-        if self.images.contains(&image) {
+        if self.images.has(image) {
             Image::Cached
-        } else if self.coming.contains(&image) {
+        } else if self.images.coming.contains(&image) {
             Image::Coming
         } else {
             Image::Absent
@@ -101,8 +99,7 @@
             listed: Vec::new(),
             held: None,
             idle_since: None,
-            images: BTreeSet::new(),
-            coming: BTreeSet::new(),
+            images: Images::default(),
             error_streak: Vec::new(),
             draining: false,
             returning: false,
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -57,6 +57,9 @@
     placed_at: Millis,
     tended_at: Millis,
     told_at: Millis,
+    /// Starts placed since the last line on the load: with the image, while it was fetched, and
+    /// without it.
+    placed: [u64; 3],
     pub free_cpus: f64,
     capacity_cpus: f64,
     pub waiting_cpus: f64,
@@ -92,6 +95,7 @@
             placed_at: Millis(0),
             tended_at: Millis(0),
             told_at: Millis(0),
+            placed: [0; 3],
             free_cpus: 0.0,
             capacity_cpus: 0.0,
             waiting_cpus: 0.0,
@@ -280,6 +284,7 @@
         let of = |state: &str| cpus.get(state).copied().unwrap_or(0.0);
         tracing::info!(part = %self.part, machines = self.machines.len(), capacity, free = self.free_cpus,
             running = of("running"), pulling = of("pulling"), exited = of("exited"),
+            cached = self.placed[0], coming = self.placed[1], absent = self.placed[2],
             waiting = self.waiting_cpus, jobs = self.jobs.len(), "load in CPUs");
     }
 
@@ -356,6 +361,7 @@
         if now.since(self.told_at) >= 10_000 {
             self.told_at = now;
             self.tell(env);
+            self.placed = [0; 3];
         }
         if now.since(self.taken) > 1_000 {
             self.read_again(env);
--- a/src/coordination/shard/placing.rs
+++ b/src/coordination/shard/placing.rs
@@ -2,12 +2,12 @@
 
 use super::Shard;
 use super::machine::Machine;
-use crate::bookkeeping::records::Grant;
-use crate::bookkeeping::records::{JobSpec, JobState, Room, Step, StepKind};
+use crate::bookkeeping::records::{Grant, JobSpec, JobState, Priority, Room, Step, StepKind};
 use crate::coordination::env::Env;
 use crate::coordination::placement::{self, Image, Load, Seat, ZoneRule};
 use crate::ids::{JobId, MachineId, Millis, Team, WallMs};
 use crate::protocol::worker::TaskState;
+use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 
 /// The least time between two passes: reports that come in between share one.
@@ -21,13 +21,15 @@
     whole: Room,
 }
 
-/// What the order of waiting jobs goes by, first to serve first.
-type Turn = (
-    bool,
-    std::cmp::Reverse<crate::bookkeeping::records::Priority>,
-    bool,
-    u64,
-);
+/// A waiting job's place in the order in which they are served.
+struct Turn {
+    /// Outside of its team's guarantee; priority; past its last aim: the least goes first.
+    rank: (bool, Reverse<Priority>, bool),
+    submitted: WallMs,
+    job: JobId,
+    /// Whether it can wait for machines that have its image.
+    patient: bool,
+}
 
 impl Shard {
     /// Works out anew what is taken on machines whose picture or report has changed.
@@ -101,10 +103,10 @@
     }
 
     /// The waiting jobs in the order in which they are served.
-    fn turns(&self, now: Millis, env: &Env) -> Vec<(Turn, JobId)> {
+    fn turns(&self, now: Millis, env: &Env) -> Vec<Turn> {
         let objectives = &env.cfg.settings.deployment.objectives;
         let within = within_guarantee(env);
-        let mut order: Vec<(Turn, JobId)> = self
+        let mut turns: Vec<Turn> = self
             .jobs
             .iter()
             .filter(|(_, j)| j.waits() && j.retry_at <= now && !j.reading)
@@ -112,13 +114,17 @@
                 let spec = j.spec()?;
                 let age_s = env.out.wall_ms.saturating_sub(j.spec.submitted.0) as f64 / 1000.0;
                 let late = age_s > placement::hope_s(spec, objectives);
-                let first = !within.contains(id);
-                let priority = std::cmp::Reverse(spec.priority);
-                Some(((first, priority, late, j.spec.submitted.0), id.clone()))
+                let patience_s = placement::patience_s(spec, objectives);
+                Some(Turn {
+                    rank: (!within.contains(id), Reverse(spec.priority), late),
+                    submitted: j.spec.submitted,
+                    job: id.clone(),
+                    patient: late || age_s < env.cfg.ops.image_patience * patience_s,
+                })
             })
             .collect();
-        order.sort();
-        order
+        turns.sort_by(|a, b| (a.rank, a.submitted, &a.job).cmp(&(b.rank, b.submitted, &b.job)));
+        turns
     }
 
     /// A machine as placement sees it for one job.
@@ -144,6 +150,7 @@
             cap,
             spared: spec.is_some_and(|s| s.spot) && !m.spot,
             image: job.map_or(Image::Absent, |j| m.image(j.image)),
+            fetches: m.images.coming.len(),
         }
     }
 
@@ -173,8 +180,16 @@
         );
         let mut used = self.used();
         self.short_of.clear();
-        for (_, id) in self.turns(now, env) {
-            self.place_job(&id, &mut rooms, weights, &mut used, now, env);
+        let turns = self.turns(now, env);
+        for equals in turns.chunk_by(|a, b| (a.rank.0, a.rank.1) == (b.rank.0, b.rank.1)) {
+            // A fetch often takes longer than the task: jobs that can still wait leave room on
+            // machines without their image to those that need no fetch there.
+            for turn in equals {
+                self.place_job(&turn.job, turn.patient, &mut rooms, weights, &mut used, env);
+            }
+            for turn in equals.iter().filter(|t| t.patient) {
+                self.place_job(&turn.job, false, &mut rooms, weights, &mut used, env);
+            }
         }
         self.dirty = false;
         self.free_cpus = rooms.iter().map(|r| r.free.cpus.max(0.0)).sum();
@@ -189,16 +204,18 @@
             .sum();
     }
 
-    /// Starts as many of a job's waiting tasks as limits and room allow.
+    /// Starts as many of a job's waiting tasks as limits and room allow, on any machine or only
+    /// where its image is or is being fetched.
     fn place_job(
         &mut self,
         id: &JobId,
+        only_with_image: bool,
         rooms: &mut [Open],
         weights: Room,
         used_grant: &mut HashMap<Team, Grant>,
-        now: Millis,
         env: &Env,
     ) {
+        let now = env.now();
         let Some(job) = self.jobs.get(id) else {
             return;
         };
@@ -225,7 +242,11 @@
             .iter()
             .filter_map(|i| {
                 let m = self.machines.get(&rooms[*i].name)?;
-                Some(self.seat(id, &rooms[*i], m, env))
+                let mut seat = self.seat(id, &rooms[*i], m, env);
+                if only_with_image && seat.image == Image::Absent {
+                    seat.cap = 0;
+                }
+                Some(seat)
             })
             .collect();
         if seats.len() != open.len() || seats.iter().all(|s| s.cap == 0) {
@@ -266,6 +287,7 @@
             }
         }
         for (seat, count) in chosen.into_iter().filter(|(_, n)| *n > 0) {
+            self.placed[seats[seat].image as usize] += u64::from(count);
             let open = &mut rooms[open[seat]];
             for _ in 0..count {
                 let first = self.jobs.get(id).and_then(|j| j.view.waiting.first());
@@ -287,8 +309,8 @@
             }
             if let Some(m) = self.machines.get_mut(&open.name) {
                 m.idle_since = None;
-                if !m.images.contains(&image) {
-                    m.coming.insert(image);
+                if !m.images.has(image) {
+                    m.images.coming.insert(image);
                 }
             }
         }
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -62,7 +62,7 @@
         }
         if new_session {
             tracing::info!(machine = %name, session = report.session.0, "new session: its tasks are gone");
-            machine.coming.clear();
+            machine.images.coming.clear();
         }
         machine.model = report.model;
         machine.zone = zone;
@@ -152,6 +152,7 @@
             return;
         };
         let listed = machine.listed.clone();
+        self.note_images(name, &listed, env);
         for item in &listed {
             let job = &item.task.job;
             let ours = self
@@ -159,13 +160,6 @@
                 .get(job)
                 .and_then(|j| j.view.started_on(name, item.task.task))
                 == Some(item.attempt);
-            if item.state == TaskState::Running
-                && let Some(image) = self.jobs.get(job).map(|j| j.image)
-                && let Some(m) = self.machines.get_mut(name)
-                && m.images.insert(image)
-            {
-                m.coming.remove(&image);
-            }
             if !ours || item.state != TaskState::Exited {
                 continue;
             }
@@ -239,6 +233,38 @@
         self.track_idle(name, now);
     }
 
+    /// Which images the machine has and which it fetches, by its newest report.
+    fn note_images(&mut self, name: &MachineId, listed: &[OnMachine], env: &Env) {
+        let unlisted = self.unlisted(name);
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        let local_gb = env.types.get(&m.model).map_or(f64::MAX, |t| t.local_gb);
+        let jobs = &self.jobs;
+        m.images.coming.clear();
+        for item in listed {
+            let Some(job) = jobs.get(&item.task.job) else {
+                continue;
+            };
+            match item.state {
+                TaskState::Running | TaskState::Saving => {
+                    let gb = job.spec().map_or(0.0, |s| s.pull_gb);
+                    m.images.used(job.image, gb, local_gb);
+                }
+                TaskState::Pulling => {
+                    m.images.coming.insert(job.image);
+                }
+                TaskState::Exited => {}
+            }
+        }
+        let started = unlisted.iter().filter_map(|(id, _, _)| jobs.get(id));
+        let absent: Vec<u32> = started
+            .map(|j| j.image)
+            .filter(|image| !m.images.has(*image))
+            .collect();
+        m.images.coming.extend(absent);
+    }
+
     fn track_idle(&mut self, name: &MachineId, now: Millis) {
         let busy = self.holds_tasks(name);
         if let Some(m) = self.machines.get_mut(name) {
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -23,6 +23,10 @@
     /// machines before dear ones are rented.
     #[schemars(range(min = 0.0, max = 10.0))]
     pub dear_patience: f64,
+    /// Share of the time that a job's tasks may wait by the aims for which they leave machines
+    /// without their image to jobs that need no fetch there.
+    #[schemars(range(min = 0.0, max = 10.0))]
+    pub image_patience: f64,
 }
 
 impl Default for OperatorSettings {
@@ -33,6 +37,7 @@
             hold_ms: 400,
             capacity_factor: 1.0,
             dear_patience: 0.5,
+            image_patience: 0.5,
         }
     }
 }
--- a/src/protocol/cloud.rs
+++ b/src/protocol/cloud.rs
@@ -15,6 +15,9 @@
     pub gpus: f64,
     #[serde(rename = "MemGb")]
     pub mem: f64,
+    /// Room for images.
+    #[serde(rename = "LocalGb", default = "unlimited")]
+    pub local_gb: f64,
     #[serde(rename = "FetchGbPerS", default)]
     pub fetch_gb_per_s: f64,
     #[serde(rename = "Hourly")]
@@ -27,6 +30,11 @@
     pub zones: Vec<String>,
 }
 
+/// A type that does not say how many images it keeps is taken to keep all (JSON has no infinity).
+fn unlimited() -> f64 {
+    1e12
+}
+
 impl MachineType {
     pub fn room(&self) -> Room {
         Room {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -30,6 +30,7 @@
         hourly,
         spot_price: spot,
         ready_s: 30.0,
+        local_gb: 30.0,
         zones: vec!["a".into()],
     };
     (label.into(), t)
@@ -112,8 +113,14 @@
     (0..).map(PartId).zip(list.map(room)).collect()
 }
 
-fn shares(rooms: &BTreeMap<PartId, PartRoom>) -> BTreeMap<u32, u32> {
-    let shares = split(&snowshelf::ids::JobId::new("wk-1"), &spec(None), 3, rooms);
+fn shares(rooms: &BTreeMap<PartId, PartRoom>, fetch_s: f64) -> BTreeMap<u32, u32> {
+    let shares = split(
+        &snowshelf::ids::JobId::new("wk-1"),
+        &spec(None),
+        fetch_s,
+        3,
+        rooms,
+    );
     shares.iter().map(|(p, s)| (p.0, s.len())).collect()
 }
 
@@ -123,9 +130,12 @@
 fn a_job_is_split_over_no_more_parts_than_it_needs() {
     // Thirty tasks of two CPUs.
     let fits_one = rooms([(20.0, 100.0, 0.0), (90.0, 100.0, 0.0), (80.0, 100.0, 0.0)]);
-    assert_eq!(shares(&fits_one), [(1, 30)].into());
+    assert_eq!(shares(&fits_one, 0.0), [(1, 30)].into());
     let fits_two = rooms([(2.0, 100.0, 0.0), (40.0, 100.0, 0.0), (30.0, 100.0, 0.0)]);
-    assert_eq!(shares(&fits_two), [(1, 20), (2, 10)].into());
+    assert_eq!(shares(&fits_two, 0.0), [(1, 20), (2, 10)].into());
+    // Nothing is given to a part that would take a few tasks only.
+    let scraps = rooms([(2.0, 100.0, 0.0), (4.0, 100.0, 0.0), (2.0, 100.0, 0.0)]);
+    assert_eq!(shares(&scraps, 0.0).len(), 1);
 }
 
 /// Guards against queues of equal length before parts of unequal size, and against all jobs
@@ -133,7 +143,7 @@
 #[test]
 fn what_waits_goes_to_the_shortest_queue_for_its_capacity() {
     let queues = rooms([(0.0, 100.0, 100.0), (0.0, 300.0, 200.0), (4.0, 100.0, 90.0)]);
-    assert_eq!(shares(&queues), [(1, 30)].into());
+    assert_eq!(shares(&queues, 0.0), [(1, 30)].into());
     let mut room = PartRoom {
         free: 50.0,
         capacity: 100.0,
@@ -143,6 +153,22 @@
     assert_eq!((room.free, room.waiting), (0.0, 10.0));
 }
 
+/// Guards against machines that fetch one image after another: with every job anywhere, a third of
+/// all CPUs waited for images.
+#[test]
+fn jobs_with_the_same_image_meet_in_the_same_part() {
+    let even = rooms([(90.0, 100.0, 0.0); 3]);
+    let home = shares(&even, 20.0);
+    let Some((part, _)) = home.first_key_value() else {
+        panic!("no share");
+    };
+    assert_eq!(home.len(), 1);
+    // Not at the price of a queue that is longer than the fetch.
+    let mut queues = rooms([(90.0, 100.0, 0.0); 3]);
+    queues.insert(PartId(*part), rooms([(0.0, 100.0, 900.0); 3])[&PartId(0)]);
+    assert!(!shares(&queues, 20.0).contains_key(part));
+}
+
 /// Equation 1 of the paper: a resource that is asked for, booked and scarce weighs more.
 #[test]
 fn weights_follow_the_paper() {
@@ -177,6 +203,7 @@
         spared,
         cap: 99,
         image,
+        fetches: 0,
     };
     let seats = [
         seat(2.0, true, Image::Cached),
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -200,7 +200,7 @@
         spec.tasks = tasks;
         spec.together = bound;
         let free: BTreeMap<PartId, PartRoom> = free.iter().enumerate().map(|(i, f)| (PartId(i as u32), PartRoom { free: *f, capacity: f * 1.5, waiting: f * 0.5 })).collect();
-        let shares = split(&id, &spec, 3, &free);
+        let shares = split(&id, &spec, 0.0, 3, &free);
         let mut all = Spans::default();
         for (_, spans) in &shares {
             all.merge(spans);
@@ -217,7 +217,7 @@
         let task = Room { cpus: 2.0, gpus: 0.0, mem: 0.0 };
         let seats: Vec<Seat> = seats.into_iter().map(|(cpus, zone, cap, has_image)| Seat {
             free: Room { cpus, gpus: 0.0, mem: 1.0 }, zone, cap, spared: false,
-            image: if has_image { Image::Cached } else { Image::Absent },
+            image: if has_image { Image::Cached } else { Image::Absent }, fetches: 0,
         }).collect();
         let mut zones = ZoneRule { together, most, ..ZoneRule::default() };
         let chosen = place(task, want, &seats, Room { cpus: 1.0, gpus: 0.0, mem: 0.0 }, &mut zones);
