Rules after a takeover: inherited starts are not commanded again; unknown zones may be any

Quota: an owner that knows a task to be gone uses the room for another start; if it ends before the end is durable, its successor commanded the first one again. Now what a machine does not list when it first shows the successor's token goes back to waiting.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -121,7 +121,20 @@
     pub held: std::collections::BTreeMap<usize, u32>,
 }
 
+/// The zone of machines whose zone is not known.
+const SOMEWHERE: usize = usize::MAX;
+
 impl ZoneRule {
+    /// Counts tasks that may be on machines of a zone; `None`: of a zone not known yet, as after a
+    /// takeover, so that they may be in any.
+    pub fn hold(&mut self, zone: Option<usize>, tasks: u32) {
+        if let (None, Some(most)) = (zone, &mut self.most) {
+            *most = most.saturating_sub(tasks);
+        } else {
+            *self.held.entry(zone.unwrap_or(SOMEWHERE)).or_default() += tasks;
+        }
+    }
+
     fn room(&self, zone: usize) -> u32 {
         let here = self.held.get(&zone).copied().unwrap_or(0);
         let elsewhere = self.held.iter().any(|(z, n)| *z != zone && *n > 0);
--- a/src/coordination/shard/machine.rs
+++ b/src/coordination/shard/machine.rs
@@ -33,6 +33,8 @@
     pub heard: Millis,
     /// Whether it ever reported to this owner.
     pub reported: bool,
+    /// Its started tasks are an earlier owner's, and no report has shown this one's token yet.
+    pub inherited: bool,
     pub notice_until: Option<Millis>,
     pub listed: Vec<OnMachine>,
     pub held: Option<Held>,
@@ -95,6 +97,7 @@
             shown: false,
             heard: now,
             reported: false,
+            inherited: false,
             notice_until: None,
             listed: Vec::new(),
             held: None,
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -147,7 +147,8 @@
         for name in held {
             self.machines
                 .entry(name)
-                .or_insert_with(|| Machine::unknown(now));
+                .or_insert_with(|| Machine::unknown(now))
+                .inherited = true;
         }
         tracing::info!(part = %self.part, token = %self.token, jobs = jobs.len(),
             machines = self.machines.len(), "part taken, picture rebuilt");
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -88,14 +88,17 @@
             })
             .collect();
         machine.stale = true;
+        let inherited = shown && std::mem::take(&mut machine.inherited);
         if let Some(old) = machine.held.take() {
             // The worker has given that request up.
             env.out
                 .respond(old.conn, Response::new(200, self.answer_body(&[])));
         }
-        if new_session && shown {
+        if (new_session && shown) || inherited {
             // A higher session proves that everything of the earlier one is gone, and the token
-            // that no earlier owner can start it in the new one.
+            // that no earlier owner can start it in the new one. What an earlier owner started and
+            // is not there is not commanded again: that owner may have known it to be gone and used
+            // its share of the team's limit for another start, the end not yet durable.
             self.requeue_unlisted(&name, now);
         }
         if shown {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -52,6 +52,14 @@
     }
 }
 
+fn pool_room() -> Room {
+    Room {
+        cpus: 8.0,
+        gpus: 0.0,
+        mem: 32.0,
+    }
+}
+
 fn pool(spot: bool) -> Pool {
     Pool {
         model: "s".into(),
@@ -68,11 +76,7 @@
         (0..4)
             .map(|_| Have {
                 pool: pool(true),
-                free: Room {
-                    cpus: 8.0,
-                    gpus: 0.0,
-                    mem: 32.0,
-                },
+                free: pool_room(),
             })
             .collect::<Vec<_>>()
     };
@@ -232,6 +236,48 @@
     assert_eq!(order[2], 1);
 }
 
+/// Guards against more than half of a job in one zone after a takeover: machines that had not
+/// reported yet counted as a zone of their own.
+#[test]
+fn tasks_in_an_unknown_zone_may_be_in_any() {
+    let seat = Seat {
+        free: pool_room(),
+        zone: 0,
+        cap: 99,
+        spared: false,
+        image: Image::Cached,
+        fetches: 0,
+    };
+    let task = want(1, true).room;
+    let placed = |mut zones: ZoneRule| {
+        let chosen = place(
+            task,
+            9,
+            std::slice::from_ref(&seat),
+            pool_room(),
+            &mut zones,
+        );
+        chosen.iter().map(|(_, n)| n).sum::<u32>()
+    };
+    let apart = || ZoneRule {
+        most: Some(3),
+        ..ZoneRule::default()
+    };
+    assert_eq!(placed(apart()), 3);
+    let mut unknown = apart();
+    unknown.hold(None, 2);
+    assert_eq!(placed(unknown), 1);
+    let mut elsewhere = apart();
+    elsewhere.hold(Some(1), 2);
+    assert_eq!(placed(elsewhere), 3);
+    let mut together = ZoneRule {
+        together: true,
+        ..ZoneRule::default()
+    };
+    together.hold(None, 1);
+    assert_eq!(placed(together), 0);
+}
+
 /// Guards against a budget that low-ranking requests use up before leases are renewed.
 #[test]
 fn a_reserve_keeps_room_for_what_matters_more() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -39,7 +39,9 @@
 
 #[test]
 fn the_rules_hold_in_storms_and_every_job_ends_after_them() {
-    for seed in 1..=30 {
+    // Seeds beyond the first thirty have found a team over its limit after a takeover (tasks that
+    // the earlier owner knew to be gone were commanded again) and a job that was not apart.
+    for seed in 1..=120 {
         let world = play(seed, STORM, Sabotage::default(), 280_000);
         assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
         let all = world.settled() == world.users.len();
