--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -21,9 +21,10 @@
         match self {
             Class::Ownership => 0.0,
             Class::Accept => 0.1,
-            Class::Ends => 0.15,
-            Class::Starts => 0.25,
-            Class::Reads => 0.3,
+            // Clear of what accepting a job takes, or a stream of small writes keeps it waiting.
+            Class::Ends => 0.4,
+            Class::Starts => 0.5,
+            Class::Reads => 0.5,
         }
     }
 }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -70,6 +70,8 @@
 
 /// A machine is dear for a job if it costs more than this many times the cheapest one allowed.
 const DEAR: f64 = 1.5;
+/// Most machines that one request may rent.
+const MOST_A_CALL: u32 = 50;
 /// How often the leader notes which machines report.
 const HEARD_GAP_MS: u64 = 500;
 
@@ -237,22 +239,22 @@
             self.listing = Some((String::new(), Vec::new()));
             self.list_page(env);
         }
-        for (name, rent) in &mut self.rents {
-            if !rent.underway && rent.retry_at <= now && self.cloud.may(now) {
-                rent.underway = true;
-                let body = rent.body.clone();
-                self.cloud.call(
-                    env.out,
-                    CloudTag::Rent(name.clone()),
-                    Method::Post,
-                    "/hosts".into(),
-                    body,
-                );
+        let again: Vec<String> = self
+            .rents
+            .iter()
+            .filter(|(_, r)| !r.underway && r.retry_at <= now)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in again {
+            if self.cloud.may(now) {
+                self.order(&name, env);
             }
         }
         if self.have_list && now.since(self.plan_at) >= 500 && !env.types.is_empty() {
             self.plan_at = now;
-            self.rent(env);
+            if self.cloud.may(now) {
+                self.rent(env);
+            }
             self.give_back(owned, env);
         }
     }
@@ -401,9 +403,6 @@
 
     fn rent(&mut self, env: &mut Env) {
         let now = env.now();
-        if self.rents.len() >= 8 {
-            return;
-        }
         let mut wants = Vec::new();
         let factor = env.cfg.ops.capacity_factor;
         let mut teams: BTreeMap<&str, Room> = BTreeMap::new();
@@ -476,26 +475,46 @@
             .cloned()
             .chain(self.rents.values().map(|r| r.pool.clone()))
             .collect();
-        for (pool, number) in plan(&wants, have, env.types, &refused) {
-            let number = number.min(50);
+        let cpus = |pool: &Pool| env.types.get(&pool.model).map_or(0.0, |t| t.cpus);
+        let mut orders: Vec<(Pool, u32)> = plan(&wants, have, env.types, &refused)
+            .into_iter()
+            .map(|(pool, number)| (pool, number.min(MOST_A_CALL)))
+            .collect();
+        // What brings most goes first, and what cannot be sent now is planned anew: small orders
+        // made before most jobs were known kept the cloud's few calls busy.
+        orders.sort_by(|a, b| {
+            let brings = |o: &(Pool, u32)| cpus(&o.0) * f64::from(o.1);
+            brings(b).total_cmp(&brings(a))
+        });
+        for (pool, number) in orders {
+            if !self.cloud.may(now) {
+                break;
+            }
             self.next_name += 1;
             // The name holds the leadership's token, so no other leader ever uses it.
             let name = format!("r-{}-{}", self.token, self.next_name);
             let body = rent_body(&name, &pool.model, &pool.zone, pool.spot, number);
-            self.rents.insert(
-                name,
-                Rent {
-                    pool,
-                    number,
-                    body,
-                    underway: false,
-                    retry_at: now,
-                    failures: 0,
-                },
-            );
-            if self.rents.len() >= 8 {
-                break;
-            }
+            let rent = Rent {
+                pool,
+                number,
+                body,
+                underway: false,
+                retry_at: now,
+                failures: 0,
+            };
+            self.rents.insert(name.clone(), rent);
+            self.order(&name, env);
+        }
+    }
+
+    /// Sends a rental request.
+    fn order(&mut self, name: &str, env: &mut Env) {
+        if let Some(rent) = self.rents.get_mut(name) {
+            rent.underway = true;
+            let body = rent.body.clone();
+            let tag = CloudTag::Rent(name.to_string());
+            self.cloud
+                .call(env.out, tag, Method::Post, "/hosts".into(), body);
         }
     }
 
--- a/src/coordination/shard/placing.rs
+++ b/src/coordination/shard/placing.rs
@@ -185,10 +185,10 @@
             // A fetch often takes longer than the task: jobs that can still wait leave room on
             // machines without their image to those that need no fetch there.
             for turn in equals {
-                self.place_job(turn, turn.patient, &mut rooms, weights, &mut used, env);
+                self.place_job(&turn.job, turn.patient, &mut rooms, weights, &mut used, env);
             }
             for turn in equals.iter().filter(|t| t.patient) {
-                self.place_job(turn, false, &mut rooms, weights, &mut used, env);
+                self.place_job(&turn.job, false, &mut rooms, weights, &mut used, env);
             }
         }
         self.dirty = false;
@@ -208,7 +208,7 @@
     /// where its image is or is being fetched.
     fn place_job(
         &mut self,
-        turn: &Turn,
+        id: &JobId,
         only_with_image: bool,
         rooms: &mut [Open],
         weights: Room,
@@ -216,7 +216,6 @@
         env: &Env,
     ) {
         let now = env.now();
-        let (id, patient) = (&turn.job, turn.patient);
         let Some(job) = self.jobs.get(id) else {
             return;
         };
@@ -244,10 +243,7 @@
             .filter_map(|i| {
                 let m = self.machines.get(&rooms[*i].name)?;
                 let mut seat = self.seat(id, &rooms[*i], m, env);
-                // One fetch at a time: several share the line, and the room is not lost, as the
-                // image that comes serves the jobs that wait for it.
-                let line_taken = patient && seat.fetches > 0;
-                if seat.image == Image::Absent && (only_with_image || line_taken) {
+                if only_with_image && seat.image == Image::Absent {
                     seat.cap = 0;
                 }
                 Some(seat)
--- a/src/coordination/shard/writing.rs
+++ b/src/coordination/shard/writing.rs
@@ -11,7 +11,7 @@
 /// How long starts gather before they are written, so that several share a transaction.
 const GATHER_MS: u64 = 60;
 /// How long ends of tasks gather: nobody waits for them until the share's last one.
-const ENDS_GATHER_MS: u64 = 1_000;
+const ENDS_GATHER_MS: u64 = 2_000;
 /// Bytes of a transaction's body that may be used.
 const TXN_BYTES: usize = 56 * 1024;
 
