Jobs of a priority go by their latest start instead of their age

A job with a deadline and a long estimate can wait longer than a short one (the smallest exception to oldest first: without deadlines and with equal aims the order is what it was).

--- a/src/coordination/shard/placing.rs
+++ b/src/coordination/shard/placing.rs
@@ -5,7 +5,7 @@
 use crate::bookkeeping::records::{Grant, JobSpec, JobState, Priority, Room, Step, StepKind};
 use crate::coordination::env::Env;
 use crate::coordination::placement::{self, Image, Load, Seat, ZoneRule};
-use crate::ids::{JobId, MachineId, Millis, Team, WallMs};
+use crate::ids::{JobId, MachineId, Millis, Team, WallMs, seconds_to_ms};
 use crate::protocol::worker::TaskState;
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
@@ -25,7 +25,8 @@
 struct Turn {
     /// Outside of its team's guarantee; priority; past its last aim: the least goes first.
     rank: (bool, Reverse<Priority>, bool),
-    submitted: WallMs,
+    /// When its tasks should start at the latest.
+    due: WallMs,
     job: JobId,
     /// Whether it can wait for machines that have its image.
     patient: bool,
@@ -117,13 +118,13 @@
                 let patience_s = placement::patience_s(spec, objectives);
                 Some(Turn {
                     rank: (!within.contains(id), Reverse(spec.priority), late),
-                    submitted: j.spec.submitted,
+                    due: WallMs(j.spec.submitted.0 + seconds_to_ms(patience_s)),
                     job: id.clone(),
                     patient: late || age_s < env.cfg.ops.image_patience * patience_s,
                 })
             })
             .collect();
-        turns.sort_by(|a, b| (a.rank, a.submitted, &a.job).cmp(&(b.rank, b.submitted, &b.job)));
+        turns.sort_by(|a, b| (a.rank, a.due, &a.job).cmp(&(b.rank, b.due, &b.job)));
         turns
     }
 
