--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -23,8 +23,8 @@
     }
 }
 
-/// The age in seconds beyond which starting a job's tasks can meet no aim for its class any more.
-pub fn hope_s(spec: &JobSpec, objectives: &[Objective]) -> f64 {
+/// How many aims a job that starts at this age cannot meet any more.
+pub fn missed(spec: &JobSpec, objectives: &[Objective], age_s: f64) -> usize {
     let aims = objectives
         .iter()
         .filter(|o| o.class.as_deref() == Some(spec.class.as_str()))
@@ -34,9 +34,7 @@
             _ => None,
         });
     // A deadline is the job's own, and its estimate often wrong: not past before it is past.
-    aims.chain(spec.deadline_s)
-        .reduce(f64::max)
-        .unwrap_or(f64::INFINITY)
+    aims.chain(spec.deadline_s).filter(|w| age_s > *w).count()
 }
 
 /// How long the tasks of a job may wait, by the aims for its class and its deadline.
--- a/src/coordination/shard/placing.rs
+++ b/src/coordination/shard/placing.rs
@@ -23,8 +23,8 @@
 
 /// A waiting job's place in the order in which they are served.
 struct Turn {
-    /// Outside of its team's guarantee; priority; past its last aim: the least goes first.
-    rank: (bool, Reverse<Priority>, bool),
+    /// Outside of its team's guarantee; priority; aims missed: the least goes first.
+    rank: (bool, Reverse<Priority>, usize),
     /// When its tasks should start at the latest.
     due: WallMs,
     job: JobId,
@@ -114,13 +114,13 @@
             .filter_map(|(id, j)| {
                 let spec = j.spec()?;
                 let age_s = env.out.wall_ms.saturating_sub(j.spec.submitted.0) as f64 / 1000.0;
-                let late = age_s > placement::hope_s(spec, objectives);
+                let missed = placement::missed(spec, objectives, age_s);
                 let patience_s = placement::patience_s(spec, objectives);
                 Some(Turn {
-                    rank: (!within.contains(id), Reverse(spec.priority), late),
+                    rank: (!within.contains(id), Reverse(spec.priority), missed),
                     due: WallMs(j.spec.submitted.0 + seconds_to_ms(patience_s)),
                     job: id.clone(),
-                    patient: late || age_s < env.cfg.ops.image_patience * patience_s,
+                    patient: missed > 0 || age_s < env.cfg.ops.image_patience * patience_s,
                 })
             })
             .collect();
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -5,7 +5,7 @@
 use snowshelf::coordination::fleet::{Have, Pool, Want, plan};
 use snowshelf::coordination::gateway::split;
 use snowshelf::coordination::peers::PartRoom;
-use snowshelf::coordination::placement::{Image, Load, Seat, ZoneRule, hope_s, place, weights};
+use snowshelf::coordination::placement::{Image, Load, Seat, ZoneRule, missed, place, weights};
 use snowshelf::ids::{Millis, PartId};
 use snowshelf::protocol::cloud::MachineType;
 use snowshelf::protocol::user::parse_submission;
@@ -93,9 +93,10 @@
     assert_eq!(rent, [(pool(false), 2)].into());
 }
 
-/// Guards against a burst in which only jobs that have missed everything are served.
+/// Guards against a burst in which only jobs that have missed an aim are served, so that all the
+/// others miss it as well.
 #[test]
-fn a_job_is_past_hope_after_its_last_aim() {
+fn a_job_yields_with_every_aim_that_it_has_missed() {
     let aim = |kind: &str, within: f64| Objective {
         kind: kind.into(),
         class: Some("tally".into()),
@@ -103,9 +104,11 @@
         share: Some(0.9),
     };
     let aims = [aim("wait", 40.0), aim("wait", 80.0), aim("finished", 100.0)];
-    assert_eq!(hope_s(&spec(None), &aims), 90.0);
-    assert_eq!(hope_s(&spec(Some(300.0)), &aims), 300.0);
-    assert_eq!(hope_s(&spec(None), &[]), f64::INFINITY);
+    let at = |age| missed(&spec(None), &aims, age);
+    // The estimate is 10 s, so that the last chance to be finished in time is at 90 s.
+    assert_eq!([at(39.0), at(41.0), at(81.0), at(91.0)], [0, 1, 2, 3]);
+    assert_eq!(missed(&spec(Some(300.0)), &[], 299.0), 0);
+    assert_eq!(missed(&spec(Some(300.0)), &[], 301.0), 1);
 }
 
 fn rooms(list: [(f64, f64, f64); 3]) -> BTreeMap<PartId, PartRoom> {
