--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -21,10 +21,19 @@
         match self {
             Class::Ownership => 0.0,
             Class::Accept => 0.1,
-            // Clear of what accepting a job takes, or a stream of small writes keeps it waiting.
+            Class::Ends => 0.15,
+            Class::Starts => 0.25,
+            Class::Reads => 0.3,
+        }
+    }
+
+    /// The same for writes, which are fewer: clear of what accepting a job takes, or a stream of
+    /// small writes keeps it waiting.
+    fn reserve_of_writes(self) -> f64 {
+        match self {
             Class::Ends => 0.4,
             Class::Starts => 0.5,
-            Class::Reads => 0.5,
+            Class::Ownership | Class::Accept | Class::Reads => self.reserve(),
         }
     }
 }
@@ -139,13 +148,16 @@
 
     pub fn may(&mut self, now: Millis, class: Class, writes: usize) -> bool {
         self.requests.has(now, 1.0, class.reserve())
-            && (writes == 0 || self.writes.has(now, writes as f64, class.reserve()))
+            && (writes == 0
+                || self
+                    .writes
+                    .has(now, writes as f64, class.reserve_of_writes()))
     }
 
     /// How many writes one transaction of this class may make now.
     pub fn room(&mut self, now: Millis, class: Class) -> usize {
         if self.requests.has(now, 1.0, class.reserve()) {
-            self.writes.room(now, class.reserve())
+            self.writes.room(now, class.reserve_of_writes())
         } else {
             0
         }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -64,6 +64,9 @@
     pub zone: Option<String>,
     pub spot: bool,
     pub estimate_s: f64,
+    /// Work of tasks that the team's limit keeps waiting, in CPU seconds: no room is rented for
+    /// them, but they take their turn on what there is.
+    pub beyond: f64,
     /// How long its tasks may wait for room without missing an aim.
     pub patience_s: f64,
 }
@@ -164,7 +167,8 @@
             let dear = unit_price(want, t, pool.spot).is_none_or(|u| u > DEAR * cheapest);
             if dear {
                 // Dear machines are rented only for what would wait too long for the others.
-                let work = backlog + f64::from(left) * want.room.cpus * want.estimate_s;
+                let work =
+                    backlog + want.beyond + f64::from(left) * want.room.cpus * want.estimate_s;
                 if work <= reach * want.patience_s {
                     break;
                 }
@@ -180,7 +184,7 @@
             left -= n;
             *rent.entry(pool).or_default() += 1;
         }
-        backlog += f64::from(left) * want.room.cpus * want.estimate_s;
+        backlog += want.beyond + f64::from(left) * want.room.cpus * want.estimate_s;
     }
     rent
 }
@@ -425,18 +429,21 @@
                 }
             }
             // A team cannot use more than its limit, so no more is rented for it.
+            let whole = tasks;
             if let Some(left) = teams.get_mut(spec.team.as_str()) {
                 tasks = tasks.min(spec.room.count_in(*left));
                 left.sub(spec.room.times(f64::from(tasks)));
             }
-            if tasks > 0 {
+            let estimate_s = super::placement::estimate(spec, env.cfg.ops.default_run_s);
+            if whole > 0 {
                 wants.push(Want {
                     room: spec.room,
-                    tasks: ((f64::from(tasks) * factor).ceil() as u32).max(1),
+                    tasks: (f64::from(tasks) * factor).ceil() as u32,
+                    beyond: f64::from(whole - tasks) * spec.room.cpus * estimate_s,
                     types: spec.types.clone(),
                     zone: spec.zone.clone(),
                     spot: spec.spot,
-                    estimate_s: super::placement::estimate(spec, env.cfg.ops.default_run_s),
+                    estimate_s,
                     patience_s: env.cfg.ops.dear_patience
                         * patience_s(spec, &env.cfg.settings.deployment.objectives),
                 });
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -8,7 +8,7 @@
 use std::collections::HashSet;
 
 /// The least time between two openings of the feed, so that a burst of changes shares one answer.
-const FEED_GAP_MS: u64 = 90;
+const FEED_GAP_MS: u64 = 150;
 /// A feed opened before this controller was refused may hang; it is opened anew this often.
 const FEED_WAIT_MS: u64 = 2_000;
 
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -36,7 +36,7 @@
             idle_release_s: 20.0,
             hold_ms: 400,
             capacity_factor: 1.0,
-            dear_patience: 1.0,
+            dear_patience: 2.0,
             image_patience: 0.5,
         }
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -47,6 +47,7 @@
         types: None,
         zone: None,
         spot,
+        beyond: 0.0,
         estimate_s: 10.0,
         patience_s: 20.0,
     }
@@ -85,6 +86,13 @@
     assert!(plan(&[want(20, true)], have(), &types, &no_spot).is_empty());
     // Six hundred tasks of ten seconds would wait for minutes.
     assert!(plan(&[want(600, true)], have(), &types, &no_spot).contains_key(&pool(false)));
+    // So would twenty behind what the team's limit holds back (inc-2443: 80,000 CPUs waited and
+    // nothing dear was rented, as each team's demand was cut to its limit).
+    let behind = Want {
+        beyond: 6_000.0,
+        ..want(20, true)
+    };
+    assert!(plan(&[behind], have(), &types, &no_spot).contains_key(&pool(false)));
     // While cheap ones are to be had, they are rented at once and the dear ones are not.
     let rent = plan(&[want(600, true)], have(), &types, &BTreeSet::new());
     assert!(rent.contains_key(&pool(true)) && !rent.contains_key(&pool(false)));
