--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -229,13 +229,8 @@
     fn reindex(&mut self, job: &JobId, before: &[MachineId]) {
         let after = self.jobs.get(job).map(|j| &j.view.started);
         for name in before {
-            if after.is_none_or(|s| !s.contains_key(name))
-                && let Some(jobs) = self.on.get_mut(name)
-            {
-                jobs.remove(job);
-                if jobs.is_empty() {
-                    self.on.remove(name);
-                }
+            if after.is_none_or(|s| !s.contains_key(name)) {
+                forget(&mut self.on, name, job);
             }
             if let Some(m) = self.machines.get_mut(name) {
                 m.stale = true;
@@ -304,13 +299,8 @@
             }
             StepKind::Finish | StepKind::Requeue => {
                 entry.started = entry.started.saturating_sub(1);
-                if !entry.view.started.contains_key(name)
-                    && let Some(jobs) = self.on.get_mut(name)
-                {
-                    jobs.remove(job);
-                    if jobs.is_empty() {
-                        self.on.remove(name);
-                    }
+                if !entry.view.started.contains_key(name) {
+                    forget(&mut self.on, name, job);
                 }
             }
         }
@@ -370,6 +360,16 @@
     }
 }
 
+/// Takes a job off the list of those with started tasks on a machine.
+fn forget(on: &mut BTreeMap<MachineId, BTreeSet<JobId>>, name: &MachineId, job: &JobId) {
+    if let Some(jobs) = on.get_mut(name) {
+        jobs.remove(job);
+        if jobs.is_empty() {
+            on.remove(name);
+        }
+    }
+}
+
 fn requeue(machine: &MachineId, task: TaskNo, attempt: Attempt) -> Step {
     Step {
         task,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -35,6 +35,8 @@
     assert_eq!(world.broken, Vec::<String>::new());
     assert_eq!(world.settled(), world.users.len());
     assert!(world.starts > 0);
+    // The list of machines was read beyond its first page.
+    assert!(world.cloud.later_pages > 0);
 }
 
 #[test]
--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -17,6 +17,8 @@
     pub machines: BTreeMap<String, Machine>,
     rented: BTreeMap<String, Value>,
     next: u32,
+    /// Pages asked for beyond a first one.
+    pub later_pages: u64,
 }
 
 /// Most machines of one pool.
@@ -30,6 +32,9 @@
     .into_bytes()
 }
 
+/// Machines in one page of the list.
+const PAGE: usize = 2;
+
 impl Cloud {
     pub fn rent(&mut self, now: u64, body: &Value) -> ((u16, Vec<u8>), Vec<String>) {
         let name = body["Pedido"].as_str().unwrap_or("").to_string();
@@ -73,19 +78,25 @@
         self.machines.remove(name);
     }
 
-    /// The list lags: machines younger than three seconds are missing.
-    pub fn list(&self, now: u64) -> Vec<u8> {
-        let list: Vec<Value> = self
+    /// The list lags: machines younger than three seconds are missing. It comes in short pages.
+    pub fn list(&mut self, now: u64, path: &str) -> Vec<u8> {
+        let query = path.split_once('?').map_or("", |(_, query)| query);
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        let after = pairs.find(|(key, _)| *key == "After").map_or("", |p| p.1);
+        self.later_pages += u64::from(!after.is_empty());
+        let mut list: Vec<Value> = self
             .machines
             .iter()
-            .filter(|(_, m)| now > m.at + 3_000)
+            .filter(|(name, m)| now > m.at + 3_000 && name.as_str() > after)
             .map(|(name, m)| {
                 json!({"Ref": name, "Address": "10.1.0.1:1", "Modelo": m.model, "Parcela": m.zone,
                     "Avulsas": m.spot, "Estado": if m.up { "running" } else { "booting" },
                     "AgeS": (now - m.at) as f64 / 1000.0})
             })
             .collect();
-        json!({"Prensas": list, "More": false})
+        let more = list.len() > PAGE;
+        list.truncate(PAGE);
+        json!({"Prensas": list, "More": more})
             .to_string()
             .into_bytes()
     }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -506,7 +506,7 @@
         let value: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
         match (method, path.split('?').next().unwrap_or("")) {
             (Method::Get, "/machine_types") => (200, cloud::types()),
-            (Method::Get, "/hosts") => (200, self.cloud.list(self.now)),
+            (Method::Get, "/hosts") => (200, self.cloud.list(self.now, path)),
             (Method::Post, "/hosts") => {
                 let (reply, new) = self.cloud.rent(self.now, &value);
                 for name in new {
