--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -234,7 +234,17 @@
     Requeue,
 }
 
+/// What a started task takes of a share's record at the most: its own range on a machine of its own,
+/// and the gap that it leaves among those that wait or are finished.
+const STARTED_BYTES: usize = 50;
+
 impl Alloc {
+    /// Most tasks that a share may have started at once, so that its record stays under the largest
+    /// value: a larger one is refused, and every write of the part with it.
+    pub fn most_started(value_bytes: usize) -> u32 {
+        (value_bytes * 9 / 10 / STARTED_BYTES) as u32
+    }
+
     pub fn started_on(&self, machine: &MachineId, task: TaskNo) -> Option<Attempt> {
         self.started.get(machine)?.get(task)
     }
--- a/src/coordination/shard/placing.rs
+++ b/src/coordination/shard/placing.rs
@@ -2,7 +2,9 @@
 
 use super::Shard;
 use super::machine::Machine;
-use crate::bookkeeping::records::{Grant, JobSpec, JobState, Priority, Room, Step, StepKind};
+use crate::bookkeeping::records::{
+    Alloc, Grant, JobSpec, JobState, Priority, Room, Step, StepKind,
+};
 use crate::coordination::env::Env;
 use crate::coordination::placement::{self, Image, Load, Seat, ZoneRule};
 use crate::ids::{JobId, MachineId, Millis, Team, WallMs, seconds_to_ms};
@@ -228,10 +230,8 @@
             // Nothing of it has worked yet: try a single task at a time.
             want = want.min(1u32.saturating_sub(job.started));
         }
-        // A share's record must stay under the largest value; a started range costs some 24 bytes.
-        let value_limit = env.cfg.settings.value_bytes() * 8 / 10;
-        let room_in_record = (value_limit / 28).saturating_sub(job.started as usize);
-        want = want.min(room_in_record as u32);
+        let most = Alloc::most_started(env.cfg.settings.value_bytes());
+        want = want.min(most.saturating_sub(job.started));
         if want == 0 {
             return;
         }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -355,3 +355,32 @@
     }
     assert!(draws.iter().any(|(x, y)| x != y));
 }
+
+/// Guards against a share that outgrows the largest value: its write would be refused for ever, and
+/// all others of its part with it.
+#[test]
+fn a_full_share_stays_under_the_largest_value() {
+    use snowshelf::bookkeeping::records::{Alloc, Step, StepKind};
+    use snowshelf::bookkeeping::spans::Spans;
+    use snowshelf::ids::{Attempt, MachineId, TaskNo};
+    for value_bytes in [16 * 1024, 32 * 1024] {
+        let most = Alloc::most_started(value_bytes);
+        assert!(most >= 250);
+        let mut share = Alloc {
+            waiting: Spans::range(90_000, 90_000 + 2 * most, 10),
+            ..Alloc::default()
+        };
+        // Every other task on a machine of its own, the rest waiting between them.
+        for i in 0..most {
+            let step = Step {
+                task: TaskNo(90_000 + 2 * i),
+                attempt: Attempt(10),
+                machine: MachineId::new(&format!("n-{:06}", 900_000 + i)),
+                what: StepKind::Start,
+            };
+            assert!(share.apply(&step));
+        }
+        let size = serde_json::to_vec(&share).unwrap().len();
+        assert!(size < value_bytes, "{size} of {value_bytes}");
+    }
+}
