--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -3,14 +3,14 @@
 //! The picture may lag. Whoever decides by it makes the write conditional on the version seen.
 
 use super::records::{
-    Alloc, JobRecord, JobState, LEADER_KEY, PartRecord, QuotaRecord, alloc_key, job_key, part_key,
-    quota_key,
+    Alloc, FORMAT_KEY, Format, FormatRecord, JobRecord, JobState, LEADER_KEY, PartRecord,
+    QuotaRecord, WIDE, alloc_key, job_key, part_key, quota_key,
 };
-use crate::ids::{JobId, PartId, Team, Version};
+use crate::ids::{JobId, Member, PartId, Team, Version, WallMs};
 use crate::protocol::cloud::MachineType;
 use serde::Deserialize;
 use serde_json::Value;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
 pub const TYPES_KEY: &str = "types";
@@ -35,6 +35,16 @@
     Quota(Team),
     Leader,
     Types,
+    Format,
+}
+
+/// What is remembered of a job that has ended.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Final {
+    pub state: JobState,
+    pub tasks: u32,
+    /// When it was done, if its record says so.
+    pub ended: Option<WallMs>,
 }
 
 #[derive(Default)]
@@ -45,7 +55,13 @@
     pub quotas: BTreeMap<Team, Versioned<QuotaRecord>>,
     pub leader: Option<Versioned<PartRecord>>,
     pub types: Option<Versioned<Vec<MachineType>>>,
-    finals: HashMap<JobId, (JobState, u32)>,
+    /// Controllers that have said that they read the wide format.
+    pub wide_members: BTreeSet<Member>,
+    /// How records are to be written, as far as it is settled.
+    pub format: Format,
+    /// Counts the changes of jobs' records.
+    pub job_changes: u64,
+    finals: HashMap<JobId, Final>,
     finals_order: VecDeque<JobId>,
     /// Versions at which keys were last seen to change; guards against older news.
     versions: HashMap<String, Version>,
@@ -65,16 +81,31 @@
     }
 }
 
+/// Whether a record tells of the wide format.
+fn wide(key: &str, value: Option<&Value>) -> bool {
+    let record = value.and_then(|v| read::<FormatRecord>(key, v));
+    record.is_some_and(|r| r.format >= WIDE)
+}
+
 impl Mirror {
-    pub fn final_of(&self, job: &JobId) -> Option<(JobState, u32)> {
+    pub fn final_of(&self, job: &JobId) -> Option<Final> {
         self.finals.get(job).copied()
     }
 
-    pub fn remember_final(&mut self, job: &JobId, state: JobState, tasks: u32) {
-        if state == JobState::Open {
+    pub fn knows_job(&self, job: &JobId) -> bool {
+        self.finals.contains_key(job) || self.jobs.contains_key(job)
+    }
+
+    fn remember_final(&mut self, job: &JobId, record: &JobRecord) {
+        if !record.is_final() {
             return;
         }
-        if self.finals.insert(job.clone(), (state, tasks)).is_none() {
+        let end = Final {
+            state: record.state,
+            tasks: record.tasks,
+            ended: record.ended,
+        };
+        if self.finals.insert(job.clone(), end).is_none() {
             self.finals_order.push_back(job.clone());
             if self.finals_order.len() > FINALS_KEPT
                 && let Some(old) = self.finals_order.pop_front()
@@ -121,9 +152,10 @@
         }
         if let Some(rest) = key.strip_prefix("job/") {
             let job = JobId::new(rest);
+            self.job_changes += 1;
             match value.and_then(|v| read::<JobRecord>(key, v)) {
                 Some(record) => {
-                    self.remember_final(&job, record.state, record.tasks);
+                    self.remember_final(&job, &record);
                     if record.is_final() && record.parts.is_empty() {
                         self.jobs.remove(&job);
                     } else {
@@ -149,6 +181,19 @@
             set(&mut self.quotas, Team::new(team), key, value, version);
             return Some(Changed::Quota(Team::new(team)));
         }
+        if let Some(member) = key.strip_prefix("member/") {
+            if wide(key, value) {
+                self.wide_members.insert(Member::new(member));
+            }
+            return Some(Changed::Format);
+        }
+        if key == FORMAT_KEY {
+            // For good: what was written since cannot be read by an earlier version.
+            if wide(key, value) {
+                self.format = Format::Wide;
+            }
+            return Some(Changed::Format);
+        }
         if key == LEADER_KEY {
             self.leader = value.and_then(|v| read(key, v)).map(|p| Versioned {
                 version,
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -1,8 +1,10 @@
 //! What the state service keeps, and the steps by which an owner changes it.
 
+use super::packed;
 use super::spans::Spans;
 use crate::ids::{Attempt, JobId, LeaseId, MachineId, Member, PartId, TaskNo, Team, WallMs};
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use std::collections::BTreeMap;
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
@@ -119,6 +121,12 @@
     pub submitted: WallMs,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub spec: Option<JobSpec>,
+    /// Jobs that must be done before any task of this one starts; only in the wide format.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub needs: Vec<JobId>,
+    /// When it was done; only in the wide format.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ended: Option<WallMs>,
 }
 
 impl JobRecord {
@@ -126,17 +134,119 @@
         self.state != JobState::Open
     }
     /// The record after `part` has nothing of the job any more.
-    pub fn without_part(&self, part: PartId) -> JobRecord {
+    pub fn without_part(&self, part: PartId, now: WallMs, terms: &Terms) -> JobRecord {
         let mut next = self.clone();
         next.parts.retain(|p| *p != part);
         if next.parts.is_empty() {
             if next.state == JobState::Open {
                 next.state = JobState::Done;
+                next.ended = (terms.format == Format::Wide).then_some(now);
             }
             next.spec = None;
+            next.needs = Vec::new();
         }
         next
     }
+    /// The record after its cancellation.
+    pub fn cancelled(&self) -> JobRecord {
+        let mut next = self.clone();
+        next.state = JobState::Cancelled;
+        next.needs = Vec::new();
+        if next.parts.is_empty() {
+            next.spec = None;
+        }
+        next
+    }
+}
+
+/// How records are written. Both are read for ever.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Default)]
+pub enum Format {
+    /// As the version before pipelines reads and rewrites it without loss.
+    #[default]
+    Narrow,
+    /// Shares in their short form, jobs that need others. For good once every controller knows it.
+    Wide,
+}
+
+/// The first format number that means `Wide`.
+pub const WIDE: u32 = 2;
+
+/// `member/<name>`: what that controller can read; `format`: what all of them can, for good.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct FormatRecord {
+    pub format: u32,
+}
+
+/// What may be written now: the format, and what the state service takes.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct Terms {
+    pub format: Format,
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+    pub rps: f64,
+    pub write_rps: f64,
+}
+
+/// Bytes of the largest value that are left free, as its size may be counted differently.
+const SPARE_BYTES: usize = 32;
+
+impl Terms {
+    /// Whether a value is small enough to be written.
+    pub fn takes(&self, value: &Value) -> bool {
+        value.to_string().len() + SPARE_BYTES <= self.value_bytes
+    }
+
+    /// A share's value; `None` if it is too large now. It shrinks as tasks end.
+    pub fn share(&self, alloc: &Alloc) -> Option<Value> {
+        let value = match self.format {
+            Format::Narrow => serde_json::to_value(alloc).ok(),
+            Format::Wide => alloc.packed(),
+        }?;
+        if self.takes(&value) {
+            return Some(value);
+        }
+        if self.format == Format::Narrow {
+            return None;
+        }
+        let mut level = alloc.clone();
+        level.waiting.raise();
+        level.packed().filter(|value| self.takes(value))
+    }
+
+    /// A job's value; `None` if it is too large. Names of machine types that do not exist may go.
+    pub fn job(&self, record: &JobRecord, exists: impl Fn(&str) -> bool) -> Option<Value> {
+        let value = serde_json::to_value(record).ok()?;
+        if self.takes(&value) {
+            return Some(value);
+        }
+        let mut slim = record.clone();
+        if let Some(types) = slim.spec.as_mut().and_then(|s| s.types.as_mut()) {
+            types.retain(|t| exists(t));
+            types.sort();
+            types.dedup();
+        }
+        let value = serde_json::to_value(slim).ok()?;
+        self.takes(&value).then_some(value)
+    }
+
+    /// How many more tasks may be started of a share so that no write that must follow, whatever
+    /// ends and requeues it tells of, becomes too large.
+    pub fn startable(&self, alloc: &Alloc, started: u32, name_bytes: usize) -> u32 {
+        let room = self.value_bytes.saturating_sub(SPARE_BYTES);
+        match self.format {
+            Format::Narrow => Alloc::most_started(room).saturating_sub(started),
+            Format::Wide => {
+                let last = alloc.waiting.spans().last();
+                let tries = alloc.waiting.spans().iter().map(|s| s.2).max();
+                let (task, attempt) = (last.map_or(0, |s| s.1), tries.unwrap_or(1));
+                // A start may split the range it comes from.
+                let each = packed::task_bytes(task, attempt) + name_bytes + 2;
+                let free = room.saturating_sub(packed::most_bytes(alloc) + 2 * each);
+                (free / each) as u32
+            }
+        }
+    }
 }
 
 /// `part/<p>`.
@@ -206,17 +316,48 @@
 
 /// `alloc/<p>/<job>`: a part's share of a job.
 #[derive(Clone, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
+#[serde(try_from = "Stored")]
 pub struct Alloc {
     /// Not started; the attempt is the next one to use.
-    #[serde(default, rename = "w", skip_serializing_if = "Spans::is_empty")]
+    #[serde(rename = "w", skip_serializing_if = "Spans::is_empty")]
     pub waiting: Spans,
     /// Possibly on a machine; the attempt is the one commanded.
-    #[serde(default, rename = "s", skip_serializing_if = "BTreeMap::is_empty")]
+    #[serde(rename = "s", skip_serializing_if = "BTreeMap::is_empty")]
     pub started: BTreeMap<MachineId, Spans>,
-    #[serde(default, rename = "f", skip_serializing_if = "Spans::is_empty")]
+    /// In the wide format only the first of them.
+    #[serde(rename = "f", skip_serializing_if = "Spans::is_empty")]
     pub finished: Spans,
 }
 
+/// A share as it may stand in the state service.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Stored {
+    Short(String),
+    Plain {
+        #[serde(default)]
+        w: Spans,
+        #[serde(default)]
+        s: BTreeMap<MachineId, Spans>,
+        #[serde(default)]
+        f: Spans,
+    },
+}
+
+impl TryFrom<Stored> for Alloc {
+    type Error = &'static str;
+    fn try_from(stored: Stored) -> Result<Alloc, Self::Error> {
+        match stored {
+            Stored::Short(text) => packed::unpack(&text).ok_or("not a share's short form"),
+            Stored::Plain { w, s, f } => Ok(Alloc {
+                waiting: w,
+                started: s,
+                finished: f,
+            }),
+        }
+    }
+}
+
 /// A change an owner makes to its share. Every step may be applied twice with the effect of once.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Step {
@@ -245,6 +386,14 @@
         (value_bytes * 9 / 10 / STARTED_BYTES) as u32
     }
 
+    /// The value in the wide format: short, unless a machine's name does not allow it.
+    fn packed(&self) -> Option<Value> {
+        match packed::pack(self) {
+            Some(text) => Some(Value::String(text)),
+            None => serde_json::to_value(self).ok(),
+        }
+    }
+
     pub fn started_on(&self, machine: &MachineId, task: TaskNo) -> Option<Attempt> {
         self.started.get(machine)?.get(task)
     }
@@ -309,4 +458,8 @@
 pub fn quota_key(team: &Team) -> String {
     format!("quota/{team}")
 }
+pub fn member_key(member: &Member) -> String {
+    format!("member/{member}")
+}
+pub const FORMAT_KEY: &str = "format";
 pub const LEADER_KEY: &str = "leader";
--- a/src/bookkeeping/spans.rs
+++ b/src/bookkeeping/spans.rs
@@ -129,6 +129,19 @@
         Spans(taken)
     }
 
+    /// Raises all tasks to the highest attempt among them; attempts only ever rise.
+    pub fn raise(&mut self) {
+        let attempt = self.0.iter().map(|s| s.2).max().unwrap_or(1);
+        let mut level: Vec<Span> = Vec::new();
+        for span in &self.0 {
+            match level.last_mut() {
+                Some(last) if last.1 == span.0 => last.1 = span.1,
+                _ => level.push(Span(span.0, span.1, attempt)),
+            }
+        }
+        self.0 = level;
+    }
+
     pub fn merge(&mut self, other: &Spans) {
         for (task, attempt) in other.iter() {
             self.insert(task, attempt);
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -59,6 +59,10 @@
             at: Millis(0),
         }
     }
+    pub fn set_rate(&mut self, rate: f64) {
+        (self.rate, self.most) = (rate, rate.max(1.0));
+        self.level = self.level.min(self.most);
+    }
     fn refill(&mut self, now: Millis) {
         let gained = now.since(self.at) as f64 / 1000.0 * self.rate;
         self.level = (self.level + gained).min(self.most);
@@ -91,6 +95,8 @@
     /// Nothing was changed; these keys had other versions.
     Conflict(Vec<String>),
     NoLease,
+    /// Not carried out, and never will be as it is: too large, or malformed.
+    Refused,
     /// Certainly not carried out.
     NotDone,
     /// May have been carried out, or may still be.
@@ -132,6 +138,8 @@
     pending: HashMap<CallId, (T, Kind)>,
     /// When the service last answered anything but 503.
     pub served: Option<Millis>,
+    /// A transaction was refused as it is.
+    pub refused: bool,
 }
 
 const CALL_MS: u64 = 2_500;
@@ -143,9 +151,16 @@
             writes: Bucket::new(write_rps),
             pending: HashMap::new(),
             served: None,
+            refused: false,
         }
     }
 
+    /// Keeps to other rates from now on.
+    pub fn set_rates(&mut self, rps: f64, write_rps: f64) {
+        self.requests.set_rate(rps);
+        self.writes.set_rate(write_rps);
+    }
+
     pub fn may(&mut self, now: Millis, class: Class, writes: usize) -> bool {
         self.requests.has(now, 1.0, class.reserve())
             && (writes == 0
@@ -259,8 +274,15 @@
         if let CallResult::Answer { status: 429, .. } = result {
             tracing::info!("the state service asks to slow down");
             self.requests.level = self.requests.level.min(0.0);
+            if let Kind::Txn = kind {
+                self.writes.level = self.writes.level.min(0.0);
+            }
+        }
+        let reply = interpret(kind, result);
+        if let Reply::Txn(TxnResult::Refused) = reply {
+            self.refused = true;
         }
-        Some((tag, interpret(kind, result)))
+        Some((tag, reply))
     }
 }
 
@@ -291,8 +313,13 @@
                 None => TxnResult::NotDone,
             },
             400 => {
-                tracing::info!(body = %String::from_utf8_lossy(body), "transaction refused");
-                TxnResult::NoLease
+                let why = String::from_utf8_lossy(body);
+                tracing::info!(body = %why, "transaction refused");
+                if why.contains("lease") {
+                    TxnResult::NoLease
+                } else {
+                    TxnResult::Refused
+                }
             }
             429 | 503 => TxnResult::NotDone,
             // Anything unforeseen proves nothing.
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -3,13 +3,19 @@
 use super::env::{Claim, CloudClient, CloudTag, Config, Env, ReadFor, Tag};
 use super::fleet::Fleet;
 use super::gateway::Gateway;
+use super::graph::Graph;
 use super::ownership::Ownership;
 use super::peers::Peers;
+use super::placement::estimate;
 use super::reader::Reader;
 use super::shard::Shard;
+use super::upgrade::{Upgrade, terms};
 use crate::bookkeeping::mirror::{Changed, Mirror, TYPES_KEY};
-use crate::bookkeeping::store::{Class, Reply, Store, TxnResult};
-use crate::ids::{CallId, ConnId, JobId, Member, Millis, PartId, Team, Version, part_of};
+use crate::bookkeeping::records::{Format, JobSpec, Terms, job_key};
+use crate::bookkeeping::store::{Class, GetResult, Reply, Store, TxnResult};
+use crate::ids::{
+    CallId, ConnId, JobId, Member, Millis, PartId, Team, Version, WallMs, part_of, seconds_to_ms,
+};
 use crate::operator::OperatorSettings;
 use crate::outbox::{CallResult, Input, Outbox, Output, Request, Response};
 use crate::protocol::cloud::MachineType;
@@ -29,6 +35,12 @@
 const UNSERVED_MS: u64 = 1_500;
 /// Share of the state service's budget that the controllers use together.
 const BUDGET: f64 = 0.92;
+/// The least time between two workings out of what needs what.
+const GRAPH_MS: u64 = 50;
+/// Most jobs at once that are read because waiting ones need them and nothing is known of them.
+const LOOK_UPS: usize = 4;
+/// The pause between two such readings.
+const LOOK_UP_MS: u64 = 500;
 /// Share of the cloud's request rate for each owner; the leader uses the rest.
 const OWNER_CLOUD: f64 = 0.12;
 
@@ -48,13 +60,20 @@
     hint_at: Millis,
     started: Millis,
     publishing: bool,
+    upgrade: Upgrade,
+    terms: Terms,
+    graph: Graph,
+    /// The jobs' changes that the graph has seen, and when it was worked out.
+    graph_of: u64,
+    graph_at: Millis,
+    looked_up: Millis,
 }
 
 impl Controller {
     pub fn new(settings: Settings, ops: OperatorSettings, now: Millis) -> Controller {
         let nodes = f64::from(settings.deployment.nodes);
-        let state = &settings.deployment.state;
-        let store = Store::new(BUDGET * state.rps / nodes, BUDGET * state.write_rps / nodes);
+        let terms = terms(Format::Narrow, false, &settings.deployment.state);
+        let store = Store::new(BUDGET * terms.rps / nodes, BUDGET * terms.write_rps / nodes);
         let cloud = CloudClient::new(OWNER_CLOUD * settings.deployment.cloud.rps);
         let seed = settings
             .member
@@ -83,6 +102,12 @@
             hint_at: Millis(0),
             started: now,
             publishing: false,
+            upgrade: Upgrade::default(),
+            terms,
+            graph: Graph::default(),
+            graph_of: 0,
+            graph_at: Millis(0),
+            looked_up: Millis(0),
         }
     }
 
@@ -108,6 +133,8 @@
             mirror: &mut self.mirror,
             cfg: &self.cfg,
             types: &self.types,
+            terms: &self.terms,
+            graph: &self.graph,
         }
     }
 
@@ -369,18 +396,15 @@
                     }
                 });
             }
-            (Tag::QuotaRead(_, _, key), Reply::Get(result)) => {
-                use crate::bookkeeping::store::GetResult;
-                match result {
-                    GetResult::Found(item) => {
-                        self.mirror.apply(&key, Some(&item.value), item.version);
-                    }
-                    GetResult::Missing(revision) => {
-                        self.mirror.apply(&key, None, revision);
-                    }
-                    GetResult::Failed => {}
+            (Tag::QuotaRead(_, _, key), Reply::Get(result)) => match result {
+                GetResult::Found(item) => {
+                    self.mirror.apply(&key, Some(&item.value), item.version);
                 }
-            }
+                GetResult::Missing(revision) => {
+                    self.mirror.apply(&key, None, revision);
+                }
+                GetResult::Failed => {}
+            },
             (Tag::ClaimTxn(part, token, job, txn), Reply::Txn(result)) => {
                 self.with_shard(part, |shard, env| {
                     if shard.token == token {
@@ -401,6 +425,31 @@
                 self.gateway = gateway;
                 self.changed(vec![Changed::Job(job)]);
             }
+            (Tag::Needed(asker, job), Reply::Get(result)) => {
+                if let GetResult::Found(item) = &result {
+                    self.mirror
+                        .apply(&item.key, Some(&item.value), item.version);
+                }
+                if let Some(id) = asker {
+                    let mut gateway = std::mem::take(&mut self.gateway);
+                    gateway.needed(id, &job, &result, &mut self.env());
+                    self.gateway = gateway;
+                } else if let GetResult::Missing(_) = result {
+                    tracing::error!(job = %job, "a job that others need is not there");
+                }
+                self.changed(vec![Changed::Job(job)]);
+            }
+            (Tag::Cascade(id), Reply::Txn(result)) => {
+                let mut gateway = std::mem::take(&mut self.gateway);
+                let jobs = gateway.cascaded(id, result, &mut self.env());
+                self.gateway = gateway;
+                self.changed(jobs.into_iter().map(Changed::Job).collect());
+            }
+            (Tag::Declare(key), Reply::Txn(result)) => {
+                let mut upgrade = std::mem::take(&mut self.upgrade);
+                upgrade.declared(&key, result, &mut self.env());
+                self.upgrade = upgrade;
+            }
             (Tag::Cancel(id), Reply::Txn(result)) => {
                 let mut gateway = std::mem::take(&mut self.gateway);
                 let job = gateway.cancelled(id, result, &mut self.env());
@@ -453,7 +502,7 @@
                             .collect();
                     }
                 }
-                Changed::Part(_) | Changed::Leader | Changed::Quota(_) => {}
+                Changed::Part(_) | Changed::Leader | Changed::Quota(_) | Changed::Format => {}
             }
         }
         if jobs.is_empty() {
@@ -483,6 +532,8 @@
         let mut reader = std::mem::take(&mut self.reader);
         reader.tick(&mut self.env());
         self.reader = reader;
+        self.tick_terms();
+        self.tick_graph();
         let up_homes = self.peers.up_homes(now, &self.cfg);
         let mut own = std::mem::take(&mut self.own);
         own.tick(&up_homes, &mut self.env());
@@ -511,6 +562,10 @@
             gateway.refuse_all(&mut self.env());
         } else {
             gateway.flush(&mut self.env());
+            if fresh {
+                let mine = self.shards.keys().copied().collect();
+                gateway.cascade(&mine, &mut self.env());
+            }
         }
         self.gateway = gateway;
         if let Some(mut fleet) = self.fleet.take() {
@@ -534,6 +589,51 @@
         }
     }
 
+    /// Keeps to what may be written by now.
+    fn tick_terms(&mut self) {
+        let mut upgrade = std::mem::take(&mut self.upgrade);
+        upgrade.tick(&mut self.env());
+        self.upgrade = upgrade;
+        let state = &self.cfg.settings.deployment.state;
+        let now = terms(self.mirror.format, self.store.refused, state);
+        if now != self.terms {
+            tracing::info!(format = ?now.format, value_bytes = now.value_bytes, txn_ops = now.txn_ops,
+                rps = now.rps, write_rps = now.write_rps, "writes keep to other terms");
+            let share = BUDGET / f64::from(self.cfg.parts);
+            self.store.set_rates(share * now.rps, share * now.write_rps);
+            self.terms = now;
+        }
+    }
+
+    /// Works out anew what needs what, if a job has changed since, and reads what is not known.
+    fn tick_graph(&mut self) {
+        let now = self.out.now;
+        if self.graph_of != self.mirror.job_changes && now.since(self.graph_at) >= GRAPH_MS {
+            self.graph_of = self.mirror.job_changes;
+            self.graph_at = now;
+            let rates = self.types.values().map(|t| t.fetch_gb_per_s);
+            let slowest = rates.filter(|r| *r > 0.0).fold(f64::INFINITY, f64::min);
+            let default_s = self.cfg.ops.default_run_s;
+            let length_ms =
+                |spec: &JobSpec| seconds_to_ms(estimate(spec, default_s) + spec.pull_gb / slowest);
+            let mirror = &self.mirror;
+            let wall = WallMs(self.out.wall_ms);
+            let final_of = |id: &JobId| mirror.final_of(id);
+            self.graph = Graph::build(&mirror.jobs, final_of, length_ms, wall, &self.graph);
+        }
+        if self.graph.unknown.is_empty() || now.since(self.looked_up) < LOOK_UP_MS {
+            return;
+        }
+        self.looked_up = now;
+        // Ended long ago and dropped from the mirror, or not come yet.
+        for job in self.graph.unknown.iter().take(LOOK_UPS) {
+            if self.store.may(now, Class::Ends, 0) {
+                let tag = Tag::Needed(None, job.clone());
+                self.store.get(&mut self.out, tag, &job_key(job), 1_500);
+            }
+        }
+    }
+
     /// Lets go of what the mirror shows to be another's.
     fn check_held(&mut self) {
         if !self.mirror.loaded {
--- a/src/coordination/env.rs
+++ b/src/coordination/env.rs
@@ -1,6 +1,8 @@
 //! What an actor is lent while it handles a message.
 
+use super::graph::Graph;
 use crate::bookkeeping::mirror::Mirror;
+use crate::bookkeeping::records::Terms;
 use crate::bookkeeping::store::{Bucket, Store};
 use crate::ids::{CallId, ConnId, JobId, MachineId, Member, Millis, PartId, Token};
 use crate::operator::OperatorSettings;
@@ -27,8 +29,14 @@
     Accept(u64),
     Read(ConnId, JobId, ReadFor),
     Cancel(u64),
+    /// A job that waiting ones, or a submission, need.
+    Needed(Option<u64>, JobId),
+    /// Cancellation of jobs that need a cancelled one.
+    Cascade(u64),
     GiveUp(PartId),
     PublishTypes(Vec<MachineType>),
+    /// This controller's word on the format, or all of theirs.
+    Declare(String),
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
@@ -124,6 +132,8 @@
     pub mirror: &'a mut Mirror,
     pub cfg: &'a Config,
     pub types: &'a BTreeMap<String, MachineType>,
+    pub terms: &'a Terms,
+    pub graph: &'a Graph,
 }
 
 impl Env<'_> {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -422,6 +422,11 @@
             let (Some(spec), JobState::Open) = (&record.value.spec, record.value.state) else {
                 continue;
             };
+            if !env.graph.is_ready(id, &record.value) {
+                continue;
+            }
+            let since = env.graph.since(id, &record.value);
+            let waited_s = (since.0 - record.value.submitted.0) as f64 / 1000.0;
             let mut tasks = 0;
             for part in &record.value.parts {
                 if let Some(a) = env.mirror.allocs.get(&(*part, id.clone())) {
@@ -445,7 +450,7 @@
                     spot: spec.spot,
                     estimate_s,
                     patience_s: env.cfg.ops.dear_patience
-                        * patience_s(spec, &env.cfg.settings.deployment.objectives),
+                        * patience_s(spec, &env.cfg.settings.deployment.objectives, waited_s),
                 });
             }
         }
--- a/src/coordination/gateway.rs
+++ b/src/coordination/gateway.rs
@@ -3,42 +3,52 @@
 
 use super::env::{Env, ReadFor, Tag};
 use super::peers::PartRoom;
+use crate::bookkeeping::mirror::Final;
 use crate::bookkeeping::records::{
-    Alloc, Grant, JobRecord, JobSpec, JobState, Kind, alloc_key, job_key,
+    Alloc, Format, Grant, JobRecord, JobSpec, JobState, Kind, alloc_key, job_key,
 };
 use crate::bookkeeping::spans::Spans;
 use crate::bookkeeping::store::{Class, GetResult, TxnResult};
 use crate::ids::{ConnId, JobId, Millis, PartId, WallMs, part_of};
 use crate::outbox::Response;
 use crate::protocol::state::{Change, Txn};
-use crate::protocol::user;
+use crate::protocol::user::{self, Submission};
 use serde::Deserialize;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// How long submissions gather to share a transaction.
 const GATHER_MS: u64 = 15;
 /// How often a cancellation that met another write is tried again before the user is asked to.
 const CANCEL_TRIES: u32 = 5;
-/// Transactions of submissions underway at once.
 /// Keys that accepting a job mostly writes: its own and one or two shares.
 const WRITES_A_JOB: usize = 3;
+/// Transactions of submissions underway at once.
 const ACCEPTS_UNDERWAY: usize = 3;
 /// A part is given a share only if it takes at least one in so many of the tasks that are left.
 const LEAST_SHARE: u32 = 4;
 /// For so long what was given to a part is counted beside what it says of itself.
 const GIVEN_MS: u64 = 1_000;
+/// Most jobs that a submission may need and that are looked up for it; the change feed brings the
+/// others soon.
+const LOOKED_UP: usize = 16;
+/// How often jobs that need a cancelled one are looked for.
+const CASCADE_MS: u64 = 200;
+/// How long such a job is left alone after its cancellation met another write.
+const CASCADE_AGAIN_MS: u64 = 400;
 
 struct Accept {
     conns: Vec<ConnId>,
     job: JobId,
     spec: JobSpec,
+    needs: Vec<JobId>,
     since: Millis,
 }
 
 struct Cancel {
     conn: ConnId,
     job: JobId,
-    next: JobRecord,
+    next: serde_json::Value,
+    why: ReadFor,
     tries: u32,
 }
 
@@ -54,6 +64,13 @@
     batches: HashMap<u64, Batch>,
     cancels: HashMap<u64, Cancel>,
     cancel_tries: HashMap<ConnId, u32>,
+    /// Submissions that need jobs unknown here, and which of those are being read.
+    checking: HashMap<u64, (Accept, BTreeSet<JobId>)>,
+    /// Cancellations of jobs that need a cancelled one, underway.
+    cascades: HashMap<u64, Vec<(JobId, serde_json::Value)>>,
+    cascade_at: Millis,
+    /// Jobs that the cascade leaves alone until then.
+    left_alone: HashMap<JobId, Millis>,
     next: u64,
     /// Room by part, as far as known.
     pub rooms: BTreeMap<PartId, PartRoom>,
@@ -159,7 +176,7 @@
 
 impl Gateway {
     pub fn submit(&mut self, conn: ConnId, body: &[u8], env: &mut Env) {
-        let (job, spec) = match user::parse_submission(body) {
+        let Submission { job, spec, needs } = match user::parse_submission(body) {
             Ok(parsed) => parsed,
             Err(error) => {
                 tracing::info!(%error, "submission is malformed");
@@ -168,8 +185,8 @@
                 return;
             }
         };
-        if let Some((state, _)) = env.mirror.final_of(&job) {
-            let body = user::brief(&job, user::state_word(state, 0));
+        if let Some(end) = env.mirror.final_of(&job) {
+            let body = user::brief(&job, user::state_word(end.state, 0));
             env.out.respond(conn, Response::new(200, body));
             return;
         }
@@ -179,32 +196,95 @@
             return;
         }
         // A job already accepted is answered by its state, whatever the limits are now.
-        if !env.mirror.jobs.contains_key(&job)
-            && let Some(why) = never_runs(&spec, env)
+        let known = env.mirror.jobs.contains_key(&job);
+        if !known
+            && let Some(why) = never_runs(&spec, env).or_else(|| needs_badly(&job, &needs, env))
         {
             // Guards against forgetting a job that was accepted under other limits: only the state
             // service knows that it was not.
             self.read(conn, &job, ReadFor::Refuse(why), env);
             return;
         }
-        if let Some(same) = self.queue.iter_mut().find(|a| a.job == job) {
+        if !known && !needs.is_empty() && env.terms.format == Format::Narrow {
+            let later = Response::later(503, "not every controller takes needs yet", 2);
+            env.out.respond(conn, later);
+            return;
+        }
+        let checked = self.checking.values_mut().map(|(a, _)| a);
+        if let Some(same) = self.queue.iter_mut().chain(checked).find(|a| a.job == job) {
             same.conns.push(conn);
             return;
         }
         // More than can be written within about a second is refused at once.
         let waiting = self.queue.len() * WRITES_A_JOB;
-        let per_second = env.cfg.settings.deployment.state.write_rps / f64::from(env.cfg.parts);
+        let per_second = env.terms.write_rps / f64::from(env.cfg.parts);
         if waiting as f64 > 0.7 * per_second {
             let later = Response::later(503, "too many submissions", 2);
             env.out.respond(conn, later);
             return;
         }
-        self.queue.push_back(Accept {
+        let unknown: BTreeSet<JobId> = needs
+            .iter()
+            .filter(|n| !known && !env.mirror.knows_job(n))
+            .cloned()
+            .collect();
+        let accept = Accept {
             conns: vec![conn],
             job,
             spec,
+            needs,
             since: env.now(),
-        });
+        };
+        if unknown.is_empty() {
+            self.queue.push_back(accept);
+        } else if unknown.len() > LOOKED_UP || !env.store.may(env.now(), Class::Accept, 0) {
+            let later = Response::later(503, "jobs that it needs are not known here yet", 1);
+            env.out.respond(conn, later);
+        } else {
+            // The mirror's silence proves nothing: a job accepted a moment ago has not come yet, and
+            // one that ended long ago may have been dropped.
+            self.next += 1;
+            for need in &unknown {
+                let tag = Tag::Needed(Some(self.next), need.clone());
+                env.store.get(env.out, tag, &job_key(need), 1_500);
+            }
+            self.checking.insert(self.next, (accept, unknown));
+        }
+    }
+
+    /// The answer about a job that the submission `id` needs; the mirror has it by now.
+    pub fn needed(&mut self, id: u64, need: &JobId, result: &GetResult, env: &mut Env) {
+        let Some((accept, unknown)) = self.checking.get_mut(&id) else {
+            return;
+        };
+        unknown.remove(need);
+        let why = match result {
+            GetResult::Found(_) => {
+                if !unknown.is_empty() {
+                    return;
+                }
+                needs_badly(&accept.job, &accept.needs, env)
+            }
+            GetResult::Missing(_) => Some("it needs a job that was never accepted"),
+            GetResult::Failed => None,
+        };
+        let Some((accept, _)) = self.checking.remove(&id) else {
+            return;
+        };
+        match (result, why) {
+            (_, Some(why)) => {
+                for conn in accept.conns {
+                    self.read(conn, &accept.job, ReadFor::Refuse(why), env);
+                }
+            }
+            (GetResult::Failed, None) => {
+                for conn in accept.conns {
+                    let later = Response::later(503, "the state service did not answer", 1);
+                    env.out.respond(conn, later);
+                }
+            }
+            (_, None) => self.queue.push_back(accept),
+        }
     }
 
     /// Refuses everything that waits: the state service does not serve.
@@ -229,7 +309,7 @@
         if now.since(oldest) < GATHER_MS || self.batches.len() >= ACCEPTS_UNDERWAY {
             return;
         }
-        let max_ops = env.cfg.settings.deployment.state.txn_ops;
+        let max_ops = env.terms.txn_ops;
         self.given.retain(|(at, _, _)| now.since(*at) < GIVEN_MS);
         let mut rooms = self.rooms.clone();
         for (_, part, cpus) in &self.given {
@@ -255,12 +335,18 @@
             let Some(accept) = self.queue.pop_front() else {
                 break;
             };
-            let record = JobRecord {
-                state: JobState::Open,
-                tasks: accept.spec.tasks,
-                parts: shares.iter().map(|s| s.0).collect(),
-                submitted: WallMs(env.out.wall_ms),
-                spec: Some(accept.spec.clone()),
+            let record = first_record(&accept, &shares, env);
+            if record.is_final() {
+                shares.clear();
+            }
+            let waits = !record.needs.is_empty();
+            let exists = |label: &str| env.types.contains_key(label);
+            let Some(value) = env.terms.job(&record, exists) else {
+                for conn in accept.conns {
+                    let why = ReadFor::Refuse("its record would be too large");
+                    self.read(conn, &accept.job, why, env);
+                }
+                continue;
             };
             let mut put = |key: String, value: serde_json::Value| {
                 bytes += value.to_string().len() + key.len() + 40;
@@ -271,22 +357,20 @@
                     lease: None,
                 });
             };
-            put(
-                job_key(&accept.job),
-                serde_json::to_value(&record).unwrap_or_default(),
-            );
+            put(job_key(&accept.job), value);
             for (part, waiting) in shares {
-                let cpus = f64::from(waiting.len()) * accept.spec.room.cpus;
-                rooms.entry(part).or_default().give(cpus);
-                self.given.push_back((now, part, cpus));
+                if !waits {
+                    let cpus = f64::from(waiting.len()) * accept.spec.room.cpus;
+                    rooms.entry(part).or_default().give(cpus);
+                    self.given.push_back((now, part, cpus));
+                }
                 let alloc = Alloc {
                     waiting,
                     ..Alloc::default()
                 };
-                put(
-                    alloc_key(part, &accept.job),
-                    serde_json::to_value(&alloc).unwrap_or_default(),
-                );
+                // A single range is never too large.
+                let value = env.terms.share(&alloc).unwrap_or_default();
+                put(alloc_key(part, &accept.job), value);
             }
             txn = txn.when(job_key(&accept.job), Default::default());
             batch.push(accept);
@@ -321,8 +405,10 @@
                 }
                 for accept in batch {
                     tracing::info!(job = %accept.job, team = %accept.spec.team, class = %accept.spec.class,
-                        tasks = accept.spec.tasks, "accepted");
-                    let body = user::brief(&accept.job, "queued");
+                        tasks = accept.spec.tasks, needs = accept.needs.len(), "accepted");
+                    let end = env.mirror.final_of(&accept.job);
+                    let state = end.map_or(JobState::Open, |end| end.state);
+                    let body = user::brief(&accept.job, user::state_word(state, 0));
                     for conn in accept.conns {
                         env.out.respond(conn, Response::new(201, body.clone()));
                     }
@@ -339,7 +425,7 @@
                     }
                 }
             }
-            TxnResult::NotDone | TxnResult::NoLease | TxnResult::Unknown => {
+            TxnResult::NotDone | TxnResult::NoLease | TxnResult::Refused | TxnResult::Unknown => {
                 // If it was carried out after all, the repeated submission finds the job.
                 for conn in batch.into_iter().flat_map(|a| a.conns) {
                     let later = Response::later(503, "the state service did not answer", 1);
@@ -350,8 +436,8 @@
     }
 
     pub fn read(&mut self, conn: ConnId, job: &JobId, why: ReadFor, env: &mut Env) {
-        if let Some((state, tasks)) = env.mirror.final_of(job) {
-            self.tell_final(conn, job, state, tasks, why, env);
+        if let Some(end) = env.mirror.final_of(job) {
+            self.tell_final(conn, job, end, why, env);
             return;
         }
         let class = match why {
@@ -367,19 +453,15 @@
         env.store.get(env.out, tag, &job_key(job), 1_500);
     }
 
-    fn tell_final(
-        &mut self,
-        conn: ConnId,
-        job: &JobId,
-        state: JobState,
-        tasks: u32,
-        why: ReadFor,
-        env: &mut Env,
-    ) {
-        let word = user::state_word(state, 0);
+    fn tell_final(&mut self, conn: ConnId, job: &JobId, end: Final, why: ReadFor, env: &mut Env) {
+        let word = user::state_word(end.state, 0);
         let body = match why {
             ReadFor::Poll => {
-                let done = if state == JobState::Done { tasks } else { 0 };
+                let done = if end.state == JobState::Done {
+                    end.tasks
+                } else {
+                    0
+                };
                 user::full(job, word, done, 0)
             }
             ReadFor::Resubmit | ReadFor::Refuse(_) | ReadFor::Cancel => user::brief(job, word),
@@ -422,11 +504,19 @@
         };
         env.mirror.apply(&item.key, Some(&item.value), item.version);
         if record.is_final() {
-            self.tell_final(conn, job, record.state, record.tasks, why, env);
+            let end = Final {
+                state: record.state,
+                tasks: record.tasks,
+                ended: record.ended,
+            };
+            self.tell_final(conn, job, end, why, env);
             return;
         }
+        // Whoever asks for a job that needs a cancelled one is not told that it waits: it is
+        // cancelled first.
+        let doomed = env.graph.doomed.contains(job);
         match why {
-            ReadFor::Poll | ReadFor::Resubmit | ReadFor::Refuse(_) => {
+            ReadFor::Poll | ReadFor::Resubmit | ReadFor::Refuse(_) if !doomed => {
                 let (done, running) = env.mirror.counts(job, &record.parts, record.tasks);
                 let word = user::state_word(record.state, running);
                 let body = match why {
@@ -435,28 +525,28 @@
                 };
                 env.out.respond(conn, Response::new(200, body));
             }
-            ReadFor::Cancel => {
-                let mut next = record;
-                next.state = JobState::Cancelled;
-                if !env.store.may(env.now(), Class::Accept, 1) {
+            _ => {
+                let exists = |label: &str| env.types.contains_key(label);
+                let next = env.terms.job(&record.cancelled(), exists);
+                let may = env.store.may(env.now(), Class::Accept, 1);
+                let Some(next) = next.filter(|_| may) else {
                     let later = Response::later(503, "too many requests", 1);
                     env.out.respond(conn, later);
                     return;
-                }
+                };
                 self.next += 1;
                 let tries = self.cancel_tries.remove(&conn).unwrap_or(0);
                 let txn = Txn::default()
                     .when(job_key(job), item.version)
                     .then(Change::write(job_key(job), &next));
-                self.cancels.insert(
-                    self.next,
-                    Cancel {
-                        conn,
-                        job: job.clone(),
-                        next,
-                        tries,
-                    },
-                );
+                let cancel = Cancel {
+                    conn,
+                    job: job.clone(),
+                    next,
+                    why,
+                    tries,
+                };
+                self.cancels.insert(self.next, cancel);
                 env.store.txn(env.out, Tag::Cancel(self.next), &txn);
             }
         }
@@ -468,16 +558,19 @@
         match result {
             TxnResult::Done(revision) => {
                 tracing::info!(job = %cancel.job, "cancelled");
-                let value = serde_json::to_value(&cancel.next).unwrap_or_default();
                 env.mirror
-                    .apply(&job_key(&cancel.job), Some(&value), revision);
-                let body = user::brief(&cancel.job, "aborted");
-                env.out.respond(cancel.conn, Response::new(200, body));
+                    .apply(&job_key(&cancel.job), Some(&cancel.next), revision);
+                let end = Final {
+                    state: JobState::Cancelled,
+                    tasks: 0,
+                    ended: None,
+                };
+                self.tell_final(cancel.conn, &cancel.job, end, cancel.why, env);
                 Some(cancel.job)
             }
             TxnResult::Conflict(_) if cancel.tries < CANCEL_TRIES => {
                 self.cancel_tries.insert(cancel.conn, cancel.tries + 1);
-                self.read(cancel.conn, &cancel.job, ReadFor::Cancel, env);
+                self.read(cancel.conn, &cancel.job, cancel.why, env);
                 None
             }
             _ => {
@@ -487,4 +580,124 @@
             }
         }
     }
+
+    /// Cancels jobs that need a cancelled one: those whose first part this controller owns, as many
+    /// as go into a transaction. Compares levels, not events, so nothing is ever missed.
+    pub fn cascade(&mut self, mine: &BTreeSet<PartId>, env: &mut Env) {
+        let now = env.now();
+        if now.since(self.cascade_at) < CASCADE_MS || !self.cascades.is_empty() {
+            return;
+        }
+        self.cascade_at = now;
+        self.left_alone.retain(|_, until| *until > now);
+        let most = env.terms.txn_ops.min(env.store.room(now, Class::Accept));
+        let mut txn = Txn::default();
+        let mut batch = Vec::new();
+        for job in &env.graph.doomed {
+            if txn.changes.len() >= most {
+                break;
+            }
+            let Some(v) = env.mirror.jobs.get(job) else {
+                continue;
+            };
+            let ours = v.value.parts.first().is_some_and(|p| mine.contains(p));
+            if v.value.is_final() || !ours || self.left_alone.contains_key(job) {
+                continue;
+            }
+            let exists = |label: &str| env.types.contains_key(label);
+            let Some(value) = env.terms.job(&v.value.cancelled(), exists) else {
+                continue;
+            };
+            let change = Change::Write {
+                key: job_key(job),
+                value: value.clone(),
+                lease: None,
+            };
+            txn = txn.when(job_key(job), v.version).then(change);
+            batch.push((job.clone(), value));
+        }
+        if batch.is_empty() || !env.store.may(now, Class::Accept, txn.changes.len()) {
+            return;
+        }
+        self.next += 1;
+        self.cascades.insert(self.next, batch);
+        env.store.txn(env.out, Tag::Cascade(self.next), &txn);
+    }
+
+    /// The answer to a cascade; the jobs whose keys have changed.
+    pub fn cascaded(&mut self, id: u64, result: TxnResult, env: &mut Env) -> Vec<JobId> {
+        let batch = self.cascades.remove(&id).unwrap_or_default();
+        let again = env.now().plus(CASCADE_AGAIN_MS);
+        match result {
+            TxnResult::Done(revision) => {
+                for (job, value) in &batch {
+                    tracing::info!(job = %job, "cancelled, as a job that it needs is");
+                    env.mirror.apply(&job_key(job), Some(value), revision);
+                }
+                return batch.into_iter().map(|(job, _)| job).collect();
+            }
+            TxnResult::Conflict(keys) => {
+                for (job, _) in batch {
+                    let key = job_key(&job);
+                    if keys.contains(&key) {
+                        env.store
+                            .get(env.out, Tag::Needed(None, job.clone()), &key, 1_500);
+                        self.left_alone.insert(job, again);
+                    }
+                }
+            }
+            _ => {
+                for (job, _) in batch {
+                    self.left_alone.insert(job, again);
+                }
+            }
+        }
+        Vec::new()
+    }
+}
+
+/// Why a submission's needs can never be met, if so, as far as the jobs are known here.
+fn needs_badly(job: &JobId, needs: &[JobId], env: &Env) -> Option<&'static str> {
+    let standing = |need: &JobId| {
+        let record = env.mirror.jobs.get(need).map(|v| &v.value);
+        let spec = record.and_then(|r| r.spec.as_ref());
+        spec.is_some_and(|s| s.kind == Kind::Standing)
+    };
+    if needs.contains(job) {
+        Some("it needs itself")
+    } else if needs.iter().any(standing) {
+        Some("it needs a service, which is never done")
+    } else {
+        None
+    }
+}
+
+/// The record by which a job is accepted. What it needs and is done already need not be kept; if
+/// something that it needs is cancelled, it is accepted as cancelled.
+fn first_record(accept: &Accept, shares: &[(PartId, Spans)], env: &Env) -> JobRecord {
+    let state_of = |need: &JobId| env.mirror.final_of(need).map(|end| end.state);
+    let lost = |need: &JobId| {
+        state_of(need) == Some(JobState::Cancelled) || env.graph.doomed.contains(need)
+    };
+    let record = JobRecord {
+        state: JobState::Open,
+        tasks: accept.spec.tasks,
+        parts: shares.iter().map(|s| s.0).collect(),
+        submitted: WallMs(env.out.wall_ms),
+        spec: Some(accept.spec.clone()),
+        needs: Vec::new(),
+        ended: None,
+    };
+    if accept.needs.iter().any(lost) {
+        let parts = Vec::new();
+        return JobRecord { parts, ..record }.cancelled();
+    }
+    let needs = accept.needs.iter();
+    JobRecord {
+        needs: needs
+            .filter(|n| state_of(n) != Some(JobState::Done))
+            .cloned()
+            .collect(),
+        ..record
+    }
 }
--- /dev/null
+++ b/src/coordination/graph.rs
@@ -0,0 +1,189 @@
+//! Jobs that need other jobs: which may start, which can never, and how urgent each is through those
+//! that need it. A pure function of the records; nothing is remembered that they do not show, but
+//! when a job that may start was first seen to.
+
+use crate::bookkeeping::mirror::{Final, Versioned};
+use crate::bookkeeping::records::{JobRecord, JobSpec, JobState, Priority};
+use crate::ids::{JobId, WallMs, seconds_to_ms};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+
+/// What a job is to be treated as, for itself and for the jobs that need it.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Urgency {
+    pub priority: Priority,
+    /// When it should start so that every deadline below it can be met; `None`: no deadline.
+    pub latest: Option<WallMs>,
+}
+
+#[derive(Default)]
+pub struct Graph {
+    /// Open jobs with needs, all of which are done: since when.
+    ready: HashMap<JobId, WallMs>,
+    /// Open jobs that need a cancelled one, directly or through others.
+    pub doomed: BTreeSet<JobId>,
+    /// Needed jobs of which nothing is known here.
+    pub unknown: BTreeSet<JobId>,
+    urgency: HashMap<JobId, Urgency>,
+}
+
+impl Graph {
+    /// Whether every job that this one needs is done. A job that the graph has not seen yet is not.
+    pub fn is_ready(&self, id: &JobId, record: &JobRecord) -> bool {
+        record.needs.is_empty() || self.ready.contains_key(id)
+    }
+
+    /// From when on a job's waiting counts: its submission, or the end of the last job it needs.
+    pub fn since(&self, id: &JobId, record: &JobRecord) -> WallMs {
+        let ready = self.ready.get(id).copied();
+        ready.map_or(record.submitted, |at| at.max(record.submitted))
+    }
+
+    /// How urgent a job is, by itself and by what needs it.
+    pub fn urgency(&self, id: &JobId, spec: &JobSpec) -> Urgency {
+        self.urgency.get(id).copied().unwrap_or(Urgency {
+            priority: spec.priority,
+            latest: None,
+        })
+    }
+
+    /// Works the picture out from the records of jobs that have not ended. `length_ms` is how long a
+    /// job is expected to take.
+    pub fn build(
+        jobs: &BTreeMap<JobId, Versioned<JobRecord>>,
+        final_of: impl Fn(&JobId) -> Option<Final>,
+        length_ms: impl Fn(&JobSpec) -> u64,
+        now: WallMs,
+        before: &Graph,
+    ) -> Graph {
+        let open = |id: &JobId| {
+            let found = jobs.get(id).map(|v| &*v.value);
+            found.filter(|r| r.state == JobState::Open)
+        };
+        let mut graph = Graph::default();
+        let mut needed_by: HashMap<&JobId, Vec<&JobId>> = HashMap::new();
+        let mut cancelled: Vec<&JobId> = Vec::new();
+        for (id, v) in jobs {
+            let record = &*v.value;
+            if record.state != JobState::Open || record.needs.is_empty() {
+                continue;
+            }
+            let mut done = true;
+            let mut since = Some(record.submitted);
+            for need in &record.needs {
+                needed_by.entry(need).or_default().push(id);
+                match final_of(need) {
+                    Some(end) if end.state == JobState::Done => {
+                        since = since.and_then(|s| Some(s.max(end.ended?)));
+                    }
+                    Some(_) => {
+                        done = false;
+                        cancelled.push(need);
+                    }
+                    None => {
+                        done = false;
+                        if open(need).is_none() {
+                            graph.unknown.insert(need.clone());
+                        }
+                    }
+                }
+            }
+            if done {
+                let seen = before.ready.get(id).copied();
+                graph
+                    .ready
+                    .insert(id.clone(), since.or(seen).unwrap_or(now));
+            }
+        }
+        // What can never start: everything below a cancelled job, each visited once.
+        let mut doomed: HashSet<&JobId> = HashSet::new();
+        let mut queue: VecDeque<&JobId> = cancelled.into();
+        while let Some(id) = queue.pop_front() {
+            for below in needed_by.get(id).into_iter().flatten() {
+                if doomed.insert(below) {
+                    queue.push_back(below);
+                }
+            }
+        }
+        graph.doomed = doomed.iter().map(|id| (*id).clone()).collect();
+        // Urgency goes up from those that nobody needs; a corrupt circle is never reached.
+        let own = |record: &JobRecord| {
+            let spec = record.spec.as_ref()?;
+            let latest = spec.deadline_s.map(|deadline| {
+                let end = record.submitted.0.saturating_add(seconds_to_ms(deadline));
+                WallMs(end.saturating_sub(length_ms(spec)))
+            });
+            Some(Urgency {
+                priority: spec.priority,
+                latest,
+            })
+        };
+        let mut above: HashMap<&JobId, usize> = HashMap::new();
+        for (need, below) in &needed_by {
+            if open(need).is_some() {
+                let waits = below.iter().filter(|b| !doomed.contains(*b)).count();
+                above.insert(need, waits);
+            }
+        }
+        let mut queue: VecDeque<&JobId> = needed_by
+            .values()
+            .flatten()
+            .filter(|id| above.get(*id).copied().unwrap_or(0) == 0)
+            .copied()
+            .collect::<BTreeSet<_>>()
+            .into_iter()
+            .collect();
+        queue.extend(
+            above
+                .iter()
+                .filter(|(id, n)| **n == 0 && open(id).is_some_and(|r| r.needs.is_empty()))
+                .map(|(id, _)| *id),
+        );
+        while let Some(id) = queue.pop_front() {
+            let Some(record) = open(id).filter(|_| !doomed.contains(id)) else {
+                continue;
+            };
+            let Some(mine) = own(record) else {
+                continue;
+            };
+            let urgency = match graph.urgency.get(id) {
+                Some(passed) => mine.and(*passed),
+                None => mine,
+            };
+            graph.urgency.insert(id.clone(), urgency);
+            for need in &record.needs {
+                let Some(spec) = open(need).and_then(|r| r.spec.as_ref()) else {
+                    continue;
+                };
+                let passed = Urgency {
+                    priority: urgency.priority,
+                    latest: urgency
+                        .latest
+                        .map(|at| WallMs(at.0.saturating_sub(length_ms(spec)))),
+                };
+                let entry = graph.urgency.entry(need.clone()).or_insert(passed);
+                *entry = entry.and(passed);
+                if let Some(left) = above.get_mut(need) {
+                    *left = left.saturating_sub(1);
+                    if *left == 0 {
+                        queue.push_back(need);
+                    }
+                }
+            }
+        }
+        graph
+    }
+}
+
+impl Urgency {
+    /// The more urgent of both, in each respect.
+    pub fn and(self, other: Urgency) -> Urgency {
+        let latest = match (self.latest, other.latest) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        };
+        Urgency {
+            priority: self.priority.max(other.priority),
+            latest,
+        }
+    }
+}
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -295,7 +295,10 @@
             }
             // Unknown: if it was carried out, the feed shows this member's name, and the key is
             // taken once more with a token that is known.
-            TxnResult::Unknown | TxnResult::NotDone | TxnResult::Conflict(_) => {
+            TxnResult::Unknown
+            | TxnResult::NotDone
+            | TxnResult::Refused
+            | TxnResult::Conflict(_) => {
                 self.retry_at.insert(claim, now.plus(400));
                 None
             }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -23,8 +23,8 @@
     }
 }
 
-/// How many aims a job that starts at this age cannot meet any more.
-pub fn missed(spec: &JobSpec, objectives: &[Objective], age_s: f64) -> usize {
+/// How many aims a job that starts at this age cannot meet any more, having waited for others before.
+pub fn missed(spec: &JobSpec, objectives: &[Objective], age_s: f64, waited_s: f64) -> usize {
     let aims = objectives
         .iter()
         .filter(|o| o.class.as_deref() == Some(spec.class.as_str()))
@@ -34,16 +34,20 @@
             _ => None,
         });
     // A deadline is the job's own, and its estimate often wrong: not past before it is past.
-    aims.chain(spec.deadline_s).filter(|w| age_s > *w).count()
+    let deadline = spec.deadline_s.map(|d| d - waited_s);
+    aims.chain(deadline).filter(|w| age_s > *w).count()
 }
 
-/// How long the tasks of a job may wait, by the aims for its class and its deadline.
-pub fn patience_s(spec: &JobSpec, objectives: &[Objective]) -> f64 {
+/// How long the tasks of a job may wait for room, by the aims for its class and its deadline, having
+/// waited for other jobs before.
+pub fn patience_s(spec: &JobSpec, objectives: &[Objective], waited_s: f64) -> f64 {
     let aims = objectives
         .iter()
         .filter(|o| o.kind == "wait" && o.class.as_deref() == Some(spec.class.as_str()))
         .filter_map(|o| o.within_s);
-    let deadline = spec.deadline_s.map(|d| (d - spec.estimate_s).max(1.0));
+    let deadline = spec
+        .deadline_s
+        .map(|d| (d - waited_s - spec.estimate_s).max(1.0));
     let least = aims.chain(deadline).fold(f64::INFINITY, f64::min);
     if least.is_finite() {
         least
--- a/src/coordination/shard/claims.rs
+++ b/src/coordination/shard/claims.rs
@@ -31,7 +31,8 @@
             };
             // A job whose zones are bound moves whole, before anything of it is started; a young
             // one may be about to start there.
-            if (spec.zones_bound() && !alloc.value.started.is_empty())
+            if !env.graph.is_ready(id, &record.value)
+                || (spec.zones_bound() && !alloc.value.started.is_empty())
                 || env.out.wall_ms < record.value.submitted.0 + CLAIM_AGE_MS
                 || self
                     .jobs
@@ -81,13 +82,30 @@
                 mine_key.clone(),
                 mine.map(|m| m.version).unwrap_or_default(),
             )
-            .when(job_key(&id), record.version)
-            .then(Change::write(theirs_key, &left))
-            .then(Change::write(mine_key, &next));
+            .when(job_key(&id), record.version);
+        let mut writes = vec![
+            (theirs_key, env.terms.share(&left)),
+            (mine_key, env.terms.share(&next)),
+        ];
         if !record.value.parts.contains(&self.part) {
             let mut job = (*record.value).clone();
             job.parts.push(self.part);
-            txn = txn.then(Change::write(job_key(&id), &job));
+            let exists = |label: &str| env.types.contains_key(label);
+            writes.push((job_key(&id), env.terms.job(&job, exists)));
+        }
+        let fits = writes.len() <= env.terms.txn_ops
+            && env.terms.startable(&next, next.started_count(), 0) > 0;
+        for (key, value) in writes {
+            let Some(value) = value.filter(|_| fits) else {
+                // One of the records would be too large: not before some of its tasks have ended.
+                self.claim_at = now.plus(1_000);
+                return;
+            };
+            txn = txn.then(Change::Write {
+                key,
+                value,
+                lease: None,
+            });
         }
         if !env.store.may(now, Class::Starts, txn.changes.len()) {
             self.claim_at = now.plus(250);
@@ -116,7 +134,10 @@
             }
             // The change feed shows what became of it; nothing is commanded before that.
             TxnResult::Unknown => self.claim_at = now.plus(3_000),
-            TxnResult::Conflict(_) | TxnResult::NotDone | TxnResult::NoLease => {
+            TxnResult::Conflict(_)
+            | TxnResult::NotDone
+            | TxnResult::Refused
+            | TxnResult::NoLease => {
                 self.claim_at = now.plus(500);
             }
         }
--- a/src/coordination/shard/job.rs
+++ b/src/coordination/shard/job.rs
@@ -38,6 +38,10 @@
     /// Being read back; nothing is written meanwhile.
     pub reading: bool,
     pub in_flight: bool,
+    /// Every job that it needs is done; once so, for good.
+    pub ready: bool,
+    /// The state service refused its write as it is: left alone until then.
+    pub hold_until: Millis,
     /// The number by which this part knows the job's image.
     pub image: u32,
     pub failed_on: BTreeSet<MachineId>,
@@ -52,9 +56,9 @@
     pub fn cancelled(&self) -> bool {
         self.spec.state == JobState::Cancelled
     }
-    /// Whether tasks of it wait for room.
+    /// Whether tasks of it wait for room, and for nothing else.
     pub fn waits(&self) -> bool {
-        !self.cancelled() && !self.view.waiting.is_empty()
+        self.ready && !self.cancelled() && !self.view.waiting.is_empty()
     }
     /// Nothing of the job is left here once all steps are durable.
     pub fn over(&self) -> bool {
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -44,6 +44,8 @@
     /// Writes in a row that were not carried out.
     refusals: u32,
     retry_at: Millis,
+    /// So many writes hold one share only, to find the one that the state service refuses.
+    one_by_one: usize,
     claiming: bool,
     claim_at: Millis,
     quota: HashMap<Team, quota::QuotaState>,
@@ -85,6 +87,7 @@
             flight: None,
             refusals: 0,
             retry_at: Millis(0),
+            one_by_one: 0,
             claiming: false,
             claim_at: Millis(0),
             quota: HashMap::new(),
@@ -182,6 +185,8 @@
                     unsettled: false,
                     reading: false,
                     in_flight: false,
+                    ready: env.graph.is_ready(job, &record.value),
+                    hold_until: Millis(0),
                     image,
                     failed_on: BTreeSet::new(),
                     failures: 0,
@@ -335,6 +340,13 @@
         if now.since(self.placed_at) > 500 {
             self.dirty = true;
         }
+        for (id, job) in self.jobs.iter_mut().filter(|(_, j)| !j.ready) {
+            if env.graph.is_ready(id, &job.spec) {
+                tracing::info!(job = %id, part = %self.part, "all that it needs is done");
+                job.ready = true;
+                self.dirty = true;
+            }
+        }
         if fresh {
             self.place(env);
             self.flush(env);
--- a/src/coordination/shard/placing.rs
+++ b/src/coordination/shard/placing.rs
@@ -2,9 +2,7 @@
 
 use super::Shard;
 use super::machine::Machine;
-use crate::bookkeeping::records::{
-    Alloc, Grant, JobSpec, JobState, Priority, Room, Step, StepKind,
-};
+use crate::bookkeeping::records::{Grant, JobSpec, JobState, Priority, Room, Step, StepKind};
 use crate::coordination::env::Env;
 use crate::coordination::placement::{self, Image, Load, Seat, ZoneRule};
 use crate::ids::{JobId, MachineId, Millis, Team, WallMs, seconds_to_ms};
@@ -115,12 +113,19 @@
             .filter(|(_, j)| j.waits() && j.retry_at <= now && !j.reading)
             .filter_map(|(id, j)| {
                 let spec = j.spec()?;
-                let age_s = env.out.wall_ms.saturating_sub(j.spec.submitted.0) as f64 / 1000.0;
-                let missed = placement::missed(spec, objectives, age_s);
-                let patience_s = placement::patience_s(spec, objectives);
+                // Aims on starting and finishing count from when the last needed job was done, the
+                // deadline from the submission.
+                let since = env.graph.since(id, &j.spec);
+                let urgency = env.graph.urgency(id, spec);
+                let age = |from: WallMs| env.out.wall_ms.saturating_sub(from.0) as f64 / 1000.0;
+                let (age_s, waited_s) =
+                    (age(since), (since.0 - j.spec.submitted.0) as f64 / 1000.0);
+                let missed = placement::missed(spec, objectives, age_s, waited_s);
+                let patience_s = placement::patience_s(spec, objectives, waited_s);
+                let due = WallMs(since.0 + seconds_to_ms(patience_s));
                 Some(Turn {
-                    rank: (!within.contains(id), Reverse(spec.priority), missed),
-                    due: WallMs(j.spec.submitted.0 + seconds_to_ms(patience_s)),
+                    rank: (!within.contains(id), Reverse(urgency.priority), missed),
+                    due: urgency.latest.map_or(due, |latest| due.min(latest)),
                     job: id.clone(),
                     patient: missed > 0 || age_s < env.cfg.ops.image_patience * patience_s,
                 })
@@ -230,8 +235,11 @@
             // Nothing of it has worked yet: try a single task at a time.
             want = want.min(1u32.saturating_sub(job.started));
         }
-        let most = Alloc::most_started(env.cfg.settings.value_bytes());
-        want = want.min(most.saturating_sub(job.started));
+        let names = rooms.iter().map(|r| r.name.as_str().len()).max();
+        let most = env
+            .terms
+            .startable(&job.view, job.started, names.unwrap_or(0));
+        want = want.min(most);
         if want == 0 {
             return;
         }
@@ -324,7 +332,7 @@
         .mirror
         .jobs
         .iter()
-        .filter(|(_, r)| r.value.state == JobState::Open)
+        .filter(|(id, r)| r.value.state == JobState::Open && env.graph.is_ready(id, &r.value))
         .filter_map(|(id, r)| Some((r.value.submitted, id, r.value.spec.as_ref()?)))
         .collect();
     open.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
--- a/src/coordination/shard/quota.rs
+++ b/src/coordination/shard/quota.rs
@@ -159,7 +159,9 @@
                 let tag = Tag::QuotaRead(self.part, self.token, key.clone());
                 env.store.get(env.out, tag, &key, 1_500);
             }
-            TxnResult::NotDone | TxnResult::NoLease => state.retry_at = now.plus(500),
+            TxnResult::NotDone | TxnResult::Refused | TxnResult::NoLease => {
+                state.retry_at = now.plus(500)
+            }
             TxnResult::Unknown => {
                 // A lowered grant stays lowered until a later write settles the key.
                 state.retry_at = now.plus(500);
@@ -179,6 +181,7 @@
         };
         if let (JobState::Open, Some(spec)) = (record.value.state, &record.value.spec)
             && spec.team == *team
+            && env.graph.is_ready(id, &record.value)
         {
             let tasks = alloc.value.waiting.len() + alloc.value.started_count();
             let cpus = spec.room.cpus * f64::from(tasks);
--- a/src/coordination/shard/writing.rs
+++ b/src/coordination/shard/writing.rs
@@ -2,11 +2,12 @@
 
 use super::Shard;
 use super::job::Press;
-use crate::bookkeeping::records::{Alloc, JobRecord, StepKind, alloc_key, job_key, part_key};
+use crate::bookkeeping::records::{StepKind, alloc_key, job_key, part_key};
 use crate::bookkeeping::store::{Class, GetResult, TxnResult};
 use crate::coordination::env::{Env, Tag};
-use crate::ids::{JobId, Millis, Version};
+use crate::ids::{JobId, Millis, Version, WallMs};
 use crate::protocol::state::{Change, Txn};
+use serde_json::Value;
 
 /// How long starts gather before they are written, so that several share a transaction.
 const GATHER_MS: u64 = 60;
@@ -16,9 +17,23 @@
 const TXN_BYTES: usize = 56 * 1024;
 
 pub(super) struct Flight {
-    pub jobs: Vec<(JobId, u64, Option<Alloc>, Option<JobRecord>)>,
+    pub jobs: Vec<Writing>,
 }
 
+/// A share's changes underway.
+pub(super) struct Writing {
+    job: JobId,
+    /// The last step that it holds.
+    last: u64,
+    /// The share's new value; `None`: it is over.
+    share: Option<Value>,
+    /// The job's new value, if it changes.
+    record: Option<Value>,
+}
+
+/// For so long a share is left alone whose write alone was refused as it is.
+const REFUSED_MS: u64 = 5_000;
+
 impl Shard {
     /// Writes gathered steps in one transaction, as many as the budget has room for.
     pub(super) fn flush(&mut self, env: &mut Env) {
@@ -29,6 +44,7 @@
         let mut ready: Vec<(Press, Millis, JobId)> = self
             .jobs
             .iter()
+            .filter(|(_, j)| j.hold_until <= now)
             .filter_map(|(id, j)| Some((j.press()?, j.since, id.clone())))
             .filter(|(press, since, _)| {
                 let gather = match press {
@@ -48,7 +64,7 @@
         };
         // More than the budget has room for would wait until the bucket is full, and keep
         // everything else waiting after it.
-        let max_ops = env.cfg.settings.deployment.state.txn_ops;
+        let max_ops = env.terms.txn_ops;
         let most = env.store.room(now, class).min(max_ops);
         let mut txn = Txn::default().when(part_key(self.part), Version(self.token.0));
         let mut jobs = Vec::new();
@@ -65,10 +81,34 @@
             let last = job.steps.last().map_or(0, |s| s.id);
             let key = alloc_key(self.part, &id);
             let starts = job.steps.iter().any(|s| s.step.what == StepKind::Start);
-            let change = if over {
-                Change::Delete { key: key.clone() }
-            } else {
-                Change::write(key.clone(), &job.view)
+            // What is too large now is written once enough of its tasks have ended: until then their
+            // machines repeat the ends, and nothing more of it is started.
+            let share = match over {
+                true => None,
+                false => match env.terms.share(&job.view) {
+                    Some(value) => Some(value),
+                    None => continue,
+                },
+            };
+            let record = match over {
+                true => {
+                    let wall = WallMs(env.out.wall_ms);
+                    let next = job.spec.without_part(self.part, wall, env.terms);
+                    let exists = |label: &str| env.types.contains_key(label);
+                    match env.terms.job(&next, exists) {
+                        Some(value) => Some(value),
+                        None => continue,
+                    }
+                }
+                false => None,
+            };
+            let change = match &share {
+                None => Change::Delete { key: key.clone() },
+                Some(value) => Change::Write {
+                    key: key.clone(),
+                    value: value.clone(),
+                    lease: None,
+                },
             };
             let size = 400 + serde_json::to_vec(&change).map_or(0, |v| v.len());
             if bytes + size > TXN_BYTES && !jobs.is_empty() {
@@ -76,25 +116,33 @@
             }
             bytes += size;
             txn = txn.when(key, job.version).then(change);
-            let mut record = None;
-            if over {
-                let next = job.spec.without_part(self.part);
-                txn = txn
-                    .when(job_key(&id), job.job_version)
-                    .then(Change::write(job_key(&id), &next));
-                record = Some(next);
+            if let Some(value) = &record {
+                txn = txn.when(job_key(&id), job.job_version).then(Change::Write {
+                    key: job_key(&id),
+                    value: value.clone(),
+                    lease: None,
+                });
             } else if starts {
                 // A cancellation changes the job's key, so it wins over a start underway.
                 txn = txn.when(job_key(&id), job.job_version);
             }
-            jobs.push((id, last, (!over).then(|| job.view.clone()), record));
+            jobs.push(Writing {
+                job: id,
+                last,
+                share,
+                record,
+            });
+            if self.one_by_one > 0 {
+                self.one_by_one -= 1;
+                break;
+            }
         }
         if jobs.is_empty() || !env.store.may(now, class, txn.changes.len()) {
             self.retry_at = now.plus(50);
             return;
         }
-        for (id, _, _, _) in &jobs {
-            if let Some(job) = self.jobs.get_mut(id) {
+        for writing in &jobs {
+            if let Some(job) = self.jobs.get_mut(&writing.job) {
                 job.in_flight = true;
             }
         }
@@ -108,28 +156,27 @@
         let Some(flight) = self.flight.take() else {
             return;
         };
-        for (id, _, _, _) in &flight.jobs {
-            if let Some(job) = self.jobs.get_mut(id) {
+        for writing in &flight.jobs {
+            if let Some(job) = self.jobs.get_mut(&writing.job) {
                 job.in_flight = false;
             }
         }
         match result {
             TxnResult::Done(revision) => {
                 self.refusals = 0;
-                for (id, last, alloc, record) in flight.jobs {
+                for writing in flight.jobs {
+                    let id = writing.job;
                     if let Some(job) = self.jobs.get_mut(&id) {
                         job.unsettled = false;
-                        job.steps.retain(|s| s.id > last);
+                        job.steps.retain(|s| s.id > writing.last);
                         job.since = now;
                     }
                     let key = alloc_key(self.part, &id);
-                    let value = alloc.map(|a| serde_json::to_value(a).unwrap_or_default());
-                    env.mirror.apply(&key, value.as_ref(), revision);
-                    if let Some(record) = record {
-                        tracing::info!(job = %id, part = %self.part, state = ?record.state,
-                            open_parts = record.parts.len(), "share of job closed");
-                        let value = serde_json::to_value(record).unwrap_or_default();
-                        env.mirror.apply(&job_key(&id), Some(&value), revision);
+                    env.mirror.apply(&key, writing.share.as_ref(), revision);
+                    if let Some(value) = &writing.record {
+                        tracing::info!(job = %id, part = %self.part, state = %value["state"],
+                            "share of job closed");
+                        env.mirror.apply(&job_key(&id), Some(value), revision);
                     }
                     self.refresh(&id, env);
                 }
@@ -150,13 +197,27 @@
                 self.retry_at = env.out.retry_at(150, self.refusals.min(3));
                 self.refusals += 1;
             }
+            TxnResult::Refused => {
+                // Guards against the same write again and again, and all others of the part after it.
+                self.retry_at = now.plus(150);
+                match &flight.jobs[..] {
+                    [only] => {
+                        tracing::info!(job = %only.job, part = %self.part, "its write is refused as it is");
+                        if let Some(job) = self.jobs.get_mut(&only.job) {
+                            job.hold_until = now.plus(REFUSED_MS);
+                        }
+                    }
+                    several => self.one_by_one = 2 * several.len(),
+                }
+            }
             TxnResult::Unknown => {
                 tracing::info!(part = %self.part, jobs = flight.jobs.len(), "write without answer: reading back");
-                for (id, _, _, record) in flight.jobs {
+                for writing in flight.jobs {
+                    let id = writing.job;
                     if let Some(job) = self.jobs.get_mut(&id) {
                         job.unsettled = true;
                     }
-                    if record.is_some() {
+                    if writing.record.is_some() {
                         self.read_back(&job_key(&id), env);
                     }
                     self.read_back(&alloc_key(self.part, &id), env);
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -27,6 +27,9 @@
     /// without their image to jobs that need no fetch there.
     #[schemars(range(min = 0.0, max = 10.0))]
     pub image_patience: f64,
+    /// Keeps this controller from saying that it reads the wide format of records, so that the step
+    /// to it, which cannot be taken back, is not made yet.
+    pub hold_format: bool,
 }
 
 impl Default for OperatorSettings {
@@ -38,6 +41,7 @@
             capacity_factor: 1.0,
             dear_patience: 2.0,
             image_patience: 0.5,
+            hold_format: false,
         }
     }
 }
--- a/src/protocol/user.rs
+++ b/src/protocol/user.rs
@@ -70,8 +70,36 @@
     }
 }
 
+/// What a user submits.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Submission {
+    pub job: JobId,
+    pub spec: JobSpec,
+    /// Jobs that must be done first, each once, sorted.
+    pub needs: Vec<JobId>,
+}
+
+/// The jobs that a submission names as needed.
+fn needs(f: &Fields) -> Result<Vec<JobId>, BadField> {
+    const WHY: BadField = BadField {
+        field: "Aguarda",
+        why: "must be a list of job ids or null",
+    };
+    let Some(list) = f.present("Aguarda") else {
+        return Ok(Vec::new());
+    };
+    let names = list.as_array().ok_or(WHY)?.iter().map(|v| {
+        let id = v.as_str().filter(|id| is_job_id(id));
+        id.map(JobId::new).ok_or(WHY)
+    });
+    let mut names = names.collect::<Result<Vec<JobId>, BadField>>()?;
+    names.sort();
+    names.dedup();
+    Ok(names)
+}
+
 /// Reads a submission; the error names the field that is wrong.
-pub fn parse_submission(body: &[u8]) -> Result<(JobId, JobSpec), BadField> {
+pub fn parse_submission(body: &[u8]) -> Result<Submission, BadField> {
     let value: Value = serde_json::from_slice(body).map_err(|_| BadField {
         field: "body",
         why: "is not JSON",
@@ -167,7 +195,11 @@
         save_s: f.amount("GuardaS")?,
         deadline_s,
     };
-    Ok((JobId::new(id), spec))
+    Ok(Submission {
+        job: JobId::new(id),
+        spec,
+        needs: needs(&f)?,
+    })
 }
 
 /// The word a user reads for a job's state.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -122,6 +122,36 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// What these limits become some time after the upgrade, without notice.
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+/// Limits to come; what is not named stays.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+pub struct NextLimits {
+    pub rps: Option<f64>,
+    pub write_rps: Option<f64>,
+    pub value_kb: Option<f64>,
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// The smaller of each limit and what it becomes.
+    pub fn smaller(&self) -> StateLimits {
+        let next = self.next.unwrap_or_default();
+        StateLimits {
+            rps: self.rps.min(next.rps.unwrap_or(f64::INFINITY)),
+            write_rps: self.write_rps.min(next.write_rps.unwrap_or(f64::INFINITY)),
+            value_kb: self.value_kb.min(next.value_kb.unwrap_or(f64::INFINITY)),
+            txn_ops: self.txn_ops.min(next.txn_ops.unwrap_or(usize::MAX)),
+            next: None,
+        }
+    }
+
+    pub fn value_bytes(&self) -> usize {
+        (self.value_kb * 1024.0) as usize
+    }
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -171,7 +201,18 @@
         if names.len() != d.nodes as usize {
             return Err(bad("peers", "members must have different names"));
         }
+        let next = d.state.next.unwrap_or_default();
+        let least = d.state.smaller();
         for (field, value) in [
+            ("deployment.state.next.rps", next.rps.unwrap_or(least.rps)),
+            (
+                "deployment.state.next.write_rps",
+                next.write_rps.unwrap_or(least.write_rps),
+            ),
+            (
+                "deployment.state.next.value_kb",
+                next.value_kb.unwrap_or(least.value_kb),
+            ),
             ("deployment.workers.report_s", d.workers.report_s),
             ("deployment.workers.lease_s", d.workers.lease_s),
             ("deployment.workers.cancel_s", d.workers.cancel_s),
@@ -189,6 +230,9 @@
         if d.state.txn_ops < 2 {
             return Err(bad("deployment.state.txn_ops", "must be at least 2"));
         }
+        if next.txn_ops.is_some_and(|ops| ops < 2) {
+            return Err(bad("deployment.state.next.txn_ops", "must be at least 2"));
+        }
         if d.limits.sockets < 32 {
             return Err(bad("deployment.limits.sockets", "must be at least 32"));
         }
@@ -226,8 +270,4 @@
     pub fn member_ttl_ms(&self) -> u64 {
         (self.lease_ms() * 35 / 100).clamp(2_000, 5_000)
     }
-
-    pub fn value_bytes(&self) -> usize {
-        (self.deployment.state.value_kb * 1024.0) as usize
-    }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -17,7 +17,7 @@
         "Precedencia":"high","Tarefas":30,"Cpus":2.0,"Gpus":0.0,"MemGb":4.0,"Matriz":"i","PullGb":1.0,
         "Modelos":null,"Parcela":null,"Together":false,"Apart":false,"Avulsas":true,
         "PrevisaoS":10.0,"MarcoS":0.0,"GuardaS":0.0,"PrazoS":deadline});
-    parse_submission(body.to_string().as_bytes()).unwrap().1
+    parse_submission(body.to_string().as_bytes()).unwrap().spec
 }
 
 fn machine_type(label: &str, cpus: f64, hourly: f64, spot: Option<f64>) -> (String, MachineType) {
@@ -112,11 +112,11 @@
         share: Some(0.9),
     };
     let aims = [aim("wait", 40.0), aim("wait", 80.0), aim("finished", 100.0)];
-    let at = |age| missed(&spec(None), &aims, age);
+    let at = |age| missed(&spec(None), &aims, age, 0.0);
     // The estimate is 10 s, so that the last chance to be finished in time is at 90 s.
     assert_eq!([at(39.0), at(41.0), at(81.0), at(91.0)], [0, 1, 2, 3]);
-    assert_eq!(missed(&spec(Some(300.0)), &[], 299.0), 0);
-    assert_eq!(missed(&spec(Some(300.0)), &[], 301.0), 1);
+    assert_eq!(missed(&spec(Some(300.0)), &[], 299.0, 0.0), 0);
+    assert_eq!(missed(&spec(Some(300.0)), &[], 301.0, 0.0), 1);
 }
 
 fn rooms(list: [(f64, f64, f64); 3]) -> BTreeMap<PartId, PartRoom> {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -1,19 +1,27 @@
 //! Generated inputs for formats and state machines. The seed is fixed: the verdict never changes.
 
+#[path = "world/frozen.rs"]
+mod frozen;
+
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
-use snowshelf::bookkeeping::mirror::Mirror;
-use snowshelf::bookkeeping::records::{Alloc, Grant, QuotaRecord, Room, Step, StepKind};
+use snowshelf::bookkeeping::mirror::{Final, Mirror, Versioned};
+use snowshelf::bookkeeping::packed::{pack, unpack};
+use snowshelf::bookkeeping::records::{
+    Alloc, Format, Grant, JobRecord, JobState, QuotaRecord, Room, Step, StepKind, Terms,
+};
 use snowshelf::bookkeeping::spans::Spans;
 use snowshelf::coordination::gateway::split;
+use snowshelf::coordination::graph::Graph;
 use snowshelf::coordination::ownership::{Verdict, verdict};
 use snowshelf::coordination::peers::PartRoom;
 use snowshelf::coordination::placement::{Image, Seat, ZoneRule, place};
-use snowshelf::ids::{Attempt, JobId, MachineId, PartId, TaskNo, Token, Version};
-use snowshelf::protocol::user::parse_submission;
+use snowshelf::ids::{Attempt, JobId, MachineId, PartId, TaskNo, Token, Version, WallMs};
+use snowshelf::protocol::user::{Submission, parse_submission};
 use snowshelf::protocol::worker::Report;
 use snowshelf::transport::http::{Parsed, parse_answer, parse_request};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 fn fixed() -> Config {
     Config {
@@ -29,7 +37,7 @@
     serde_json::json!({"Ref":"wk-000412","Lote":"train","Cuadrilla":"vision","Feitio":"batch",
         "Precedencia":"high","Tarefas":16,"Cpus":8.0,"Gpus":1.0,"MemGb":64.0,"Matriz":"img-07",
         "PullGb":6.2,"Modelos":["g8"],"Parcela":null,"Together":true,"Apart":false,"Avulsas":true,
-        "PrevisaoS":240.0,"MarcoS":30.0,"GuardaS":4.0,"PrazoS":900.0})
+        "PrevisaoS":240.0,"MarcoS":30.0,"GuardaS":4.0,"PrazoS":900.0,"Aguarda":["wk-000398","wk-000405"]})
 }
 
 #[derive(Clone, Debug)]
@@ -47,6 +55,71 @@
     })
 }
 
+fn terms(format: Format, value_bytes: usize) -> Terms {
+    Terms {
+        format,
+        value_bytes,
+        txn_ops: 4,
+        rps: 100.0,
+        write_rps: 35.0,
+    }
+}
+
+/// A job that needs others, as it is kept.
+fn record(state: JobState, needs: &[usize], deadline_s: Option<f64>) -> JobRecord {
+    let mut spec = parse_submission(submission().to_string().as_bytes())
+        .unwrap()
+        .spec;
+    spec.deadline_s = deadline_s;
+    JobRecord {
+        state,
+        tasks: spec.tasks,
+        parts: vec![PartId(0)],
+        submitted: WallMs(1_000),
+        spec: Some(spec),
+        needs: needs.iter().map(|n| name(*n)).collect(),
+        ended: None,
+    }
+}
+
+fn name(n: usize) -> JobId {
+    JobId::new(&format!("wk-{n}"))
+}
+
+/// The picture of jobs of which the final ones are kept apart, as the mirror does.
+fn graph_of(records: &[JobRecord]) -> Graph {
+    let mut open = BTreeMap::new();
+    let mut finals: BTreeMap<JobId, Final> = BTreeMap::new();
+    for (n, r) in records.iter().enumerate() {
+        if r.is_final() {
+            finals.insert(
+                name(n),
+                Final {
+                    state: r.state,
+                    tasks: r.tasks,
+                    ended: r.ended,
+                },
+            );
+        } else {
+            open.insert(
+                name(n),
+                Versioned {
+                    version: Version(1),
+                    value: Rc::new(r.clone()),
+                },
+            );
+        }
+    }
+    let length = |_: &snowshelf::bookkeeping::records::JobSpec| 10_000;
+    Graph::build(
+        &open,
+        |id| finals.get(id).copied(),
+        length,
+        WallMs(50_000),
+        &Graph::default(),
+    )
+}
+
 /// The step that an owner looking at `view` would take for an operation.
 fn step_for(view: &Alloc, op: &Op) -> Step {
     let (task, machine, what) = match op {
@@ -105,7 +178,7 @@
 
     #[test]
     fn a_submission_with_one_wrong_field_names_it(
-        at in 0..20usize,
+        at in 0..21usize,
         wrong in prop_oneof![
             Just(serde_json::json!(-1)), Just(serde_json::json!({})), Just(serde_json::json!([1])),
         ],
@@ -181,6 +254,102 @@
         }
     }
 
+    /// Guards against a share that can no longer be written: whatever ends and requeues follow, its
+    /// value stays within the limit, and reads back as it was.
+    #[test]
+    fn a_share_always_fits(
+        ops in proptest::collection::vec((0..6u32, 0..60u32, 0..400usize), 0..120),
+        first in 0..60_000u32, attempt in 1..40u32,
+    ) {
+        let terms = terms(Format::Wide, 2048);
+        let mut share = Alloc { waiting: Spans::range(first, first + 5_000, attempt), ..Alloc::default() };
+        for (what, machine, pick) in ops {
+            let started: Vec<(MachineId, TaskNo, Attempt)> = share.started.iter()
+                .flat_map(|(m, s)| s.iter().map(|(t, a)| (m.clone(), t, a))).collect();
+            if what < 3 {
+                // Several at once, as a pass of placement starts them.
+                let most = terms.startable(&share, share.started_count(), 8);
+                for _ in 0..most.min(pick as u32) {
+                    let Some((task, attempt)) = share.waiting.first() else { break };
+                    let machine = MachineId::new(&format!("n-{machine:06}"));
+                    share.apply(&Step { task, attempt, machine, what: StepKind::Start });
+                }
+            } else {
+                let step = if what == 3 { StepKind::Finish } else { StepKind::Requeue };
+                for (machine, task, attempt) in started.into_iter().skip(pick % 7).step_by(1 + pick % 3).take(pick) {
+                    share.apply(&Step { task, attempt, machine, what: step });
+                    let fits = terms.share(&share).is_some();
+                    prop_assert!(fits, "{} bytes", pack(&share).unwrap().len());
+                }
+            }
+            let value = terms.share(&share).unwrap();
+            let read: Alloc = serde_json::from_value(value).unwrap();
+            prop_assert_eq!(&read.started, &share.started);
+            prop_assert_eq!(read.waiting.len(), share.waiting.len());
+            prop_assert_eq!(read.finished.is_empty(), share.finished.is_empty());
+            prop_assert_eq!(&unpack(&pack(&share).unwrap()).unwrap().waiting, &share.waiting);
+            // Until the switch, the version before reads it and writes the same.
+            prop_assert!(frozen::survives("alloc/0/wk-1", &serde_json::to_value(&share).unwrap()));
+        }
+    }
+
+    #[test]
+    fn the_short_form_survives_any_text(text in "[0-9a-z;:|,.-]{0,40}") {
+        if let Some(share) = unpack(&text) {
+            prop_assert_eq!(unpack(&pack(&share).unwrap()), Some(share));
+        }
+    }
+
+    /// A job starts when all that it needs is done, and ends with any that is cancelled above it;
+    /// its urgency is that of the most urgent below it. Against a plain model, on any graph, even
+    /// one that goes in circles.
+    #[test]
+    fn needs_are_met_as_a_plain_model_says(
+        jobs in proptest::collection::vec(
+            (0..6u8, proptest::collection::vec(0..14usize, 0..3), proptest::option::of(50.0..500.0f64)), 1..14),
+        circles: bool,
+    ) {
+        let records: Vec<JobRecord> = jobs.iter().enumerate().map(|(n, (state, needs, deadline))| {
+            let state = match state { 0 => JobState::Done, 1 => JobState::Cancelled, _ => JobState::Open };
+            let needs: BTreeSet<usize> = needs.iter().copied()
+                .filter(|x| *x < jobs.len() && *x != n && (circles || *x < n)).collect();
+            record(state, &needs.into_iter().collect::<Vec<_>>(), *deadline)
+        }).collect();
+        let graph = graph_of(&records);
+        let needs = |n: usize| records[n].needs.iter().map(|id| id.as_str()[3..].parse::<usize>().unwrap()).collect::<Vec<_>>();
+        for (n, r) in records.iter().enumerate().filter(|(_, r)| !r.is_final()) {
+            let ready = needs(n).iter().all(|x| records[*x].state == JobState::Done);
+            prop_assert_eq!(graph.is_ready(&name(n), r), ready);
+            // All that stands above, through open jobs.
+            let mut above = BTreeSet::new();
+            let mut queue = needs(n);
+            while let Some(x) = queue.pop() {
+                if above.insert(x) && !records[x].is_final() {
+                    queue.extend(needs(x));
+                }
+            }
+            let doomed = above.iter().any(|x| records[*x].state == JobState::Cancelled);
+            prop_assert_eq!(graph.doomed.contains(&name(n)), doomed);
+            // No open job above is less urgent than this one, by at least its own length.
+            if circles || doomed {
+                continue;
+            }
+            let mine = graph.urgency(&name(n), r.spec.as_ref().unwrap());
+            if let Some(deadline) = r.spec.as_ref().unwrap().deadline_s {
+                let own = 1_000 + (deadline * 1000.0) as u64 - 10_000;
+                // Outside of all pipelines the deadline counts where the aims do.
+                prop_assert!(mine.latest.map_or(needs(n).is_empty(), |at| at.0 <= own));
+            }
+            for x in needs(n).into_iter().filter(|x| !records[*x].is_final()) {
+                let theirs = graph.urgency(&name(x), records[x].spec.as_ref().unwrap());
+                prop_assert!(theirs.priority >= mine.priority);
+                if let Some(latest) = mine.latest {
+                    prop_assert!(theirs.latest.unwrap().0 <= latest.0.saturating_sub(10_000));
+                }
+            }
+        }
+    }
+
     #[test]
     fn grants_never_pass_the_limit(moves in proptest::collection::vec((0..4u32, 0.0..50.0f64, 0.0..1.0f64), 0..60)) {
         let limit = Grant { cpus: 60.0, gpus: 6.0 };
@@ -196,7 +365,7 @@
 
     #[test]
     fn a_job_is_split_without_loss(tasks in 1..3000u32, free in proptest::collection::vec(0.0..200.0f64, 3), bound: bool) {
-        let (id, mut spec) = parse_submission(submission().to_string().as_bytes()).unwrap();
+        let Submission { job: id, mut spec, .. } = parse_submission(submission().to_string().as_bytes()).unwrap();
         spec.tasks = tasks;
         spec.together = bound;
         let free: BTreeMap<PartId, PartRoom> = free.iter().enumerate().map(|(i, f)| (PartId(i as u32), PartRoom { free: *f, capacity: f * 1.5, waiting: f * 0.5 })).collect();
@@ -265,6 +434,100 @@
     assert_eq!(verdict(None, None, false, 10), Verdict::Leave);
 }
 
+/// Samples of the records that the version before pipelines wrote: read for ever.
+#[test]
+fn records_of_the_version_before_are_read() {
+    let share = serde_json::json!({"w":[[7,9,1]],"s":{"n-000231":[[0,3,1],[4,5,2]]},"f":[[3,4,0]]});
+    let read: Alloc = serde_json::from_value(share.clone()).unwrap();
+    assert_eq!(
+        (
+            read.waiting.len(),
+            read.started_count(),
+            read.finished.len()
+        ),
+        (2, 4, 1)
+    );
+    assert!(frozen::survives("alloc/0/wk-1", &share));
+    let job = serde_json::json!({"state":"Open","tasks":2,"parts":[0,2],"submitted":1764600000000u64,
+        "spec":{"class":"c","team":"red","kind":"Batch","priority":"High","tasks":2,
+            "room":{"cpus":2.0,"gpus":0.0,"mem":4.9},"image":"i","pull_gb":1.8,"together":false,"apart":false,
+            "spot":true,"estimate_s":9.5,"checkpoint_s":0.0,"save_s":0.0}});
+    let read: JobRecord = serde_json::from_value(job.clone()).unwrap();
+    assert!(read.needs.is_empty() && !read.is_final());
+    assert_eq!(serde_json::to_value(&read).unwrap(), job);
+    assert!(frozen::survives("job/wk-1", &job));
+    let done = serde_json::json!({"state":"Done","tasks":2,"submitted":5});
+    let narrow = read.without_part(PartId(0), WallMs(9), &terms(Format::Narrow, 2048));
+    let narrow = narrow.without_part(PartId(2), WallMs(9), &terms(Format::Narrow, 2048));
+    assert!(frozen::survives(
+        "job/wk-1",
+        &serde_json::to_value(narrow).unwrap()
+    ));
+    assert!(
+        serde_json::from_value::<JobRecord>(done)
+            .unwrap()
+            .is_final()
+    );
+    // The reader that stands for that version can say no: it would lose these.
+    let waits = serde_json::to_value(record(JobState::Open, &[3], None)).unwrap();
+    assert!(!frozen::survives("job/wk-1", &waits));
+    let short = terms(Format::Wide, 2048).share(&Alloc {
+        waiting: Spans::range(0, 9, 1),
+        ..Alloc::default()
+    });
+    assert!(!frozen::survives("alloc/0/wk-1", &short.unwrap()));
+}
+
+/// Guards against records that cannot be written once the state service takes values of 2 KiB: a
+/// share that the version before wrote when 32 KiB were allowed, with hundreds of started tasks,
+/// shrinks with their ends until it fits, and can then be written whatever becomes of the others.
+#[test]
+fn a_share_written_under_larger_limits_comes_to_fit() {
+    for lost in [false, true] {
+        let mut share = Alloc {
+            waiting: Spans::range(0, 3_000, 1),
+            ..Alloc::default()
+        };
+        for i in 0..580u32 {
+            let machine = MachineId::new(&format!("n-{i:06}"));
+            let step = Step {
+                task: TaskNo(2 * i),
+                attempt: Attempt(1),
+                machine,
+                what: StepKind::Start,
+            };
+            assert!(share.apply(&step));
+        }
+        assert!(serde_json::to_string(&share).unwrap().len() > 8 * 2048);
+        let terms = terms(Format::Wide, 2048);
+        assert_eq!(terms.startable(&share, 580, 8), 0);
+        let mut fits = 0;
+        for i in 0..580u32 {
+            let machine = MachineId::new(&format!("n-{i:06}"));
+            let what = if lost {
+                StepKind::Requeue
+            } else {
+                StepKind::Finish
+            };
+            assert!(share.apply(&Step {
+                task: TaskNo(2 * i),
+                attempt: Attempt(1),
+                machine,
+                what
+            }));
+            let small = terms.share(&share).is_some();
+            assert!(small || fits == 0, "it fitted before");
+            fits += u32::from(small);
+        }
+        let more = terms.startable(&share, 0, 8);
+        assert!(
+            fits > 50 && more > 0,
+            "{fits} {more} {}",
+            pack(&share).unwrap().len()
+        );
+    }
+}
+
 #[test]
 fn machines_spread_over_parts() {
     let mut counts = [0u32; 3];
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -10,6 +10,7 @@
     crashes: false,
     outages: false,
     machine_faults: false,
+    roll: false,
 };
 
 const STORM: Weather = Weather {
@@ -18,6 +19,12 @@
     crashes: true,
     outages: true,
     machine_faults: true,
+    roll: false,
+};
+
+const ROLL: Weather = Weather {
+    roll: true,
+    ..STORM
 };
 
 fn play(seed: u64, weather: Weather, sabotage: Sabotage, until: u64) -> World {
@@ -51,6 +58,18 @@
     }
 }
 
+/// Guards against a version that loses what the other wrote, a step to the new format that comes too
+/// early, and a state service that takes less from some moment on: at every moment of a roll.
+#[test]
+fn the_rules_hold_while_the_version_is_replaced() {
+    for seed in 1..=60 {
+        let world = play(seed, ROLL, Sabotage::default(), 280_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        let all = world.settled() == world.users.len();
+        assert!(all, "seed {seed}: {:#?}", world.unsettled());
+    }
+}
+
 #[test]
 fn a_day_follows_from_its_seed() {
     let (a, b) = (1..=2)
@@ -75,7 +94,7 @@
 
 /// The checker can fail: without a safeguard some seed shows a broken rule.
 fn finds_something(sabotage: Sabotage) -> bool {
-    (1..=25).any(|seed| !play(seed, STORM, sabotage, 200_000).broken.is_empty())
+    (1..=60).any(|seed| !play(seed, STORM, sabotage, 200_000).broken.is_empty())
 }
 
 #[test]
@@ -86,6 +105,14 @@
     }));
 }
 
+#[test]
+fn with_needs_that_are_not_told_a_rule_breaks() {
+    assert!(finds_something(Sabotage {
+        no_needs: true,
+        ..Sabotage::default()
+    }));
+}
+
 #[test]
 fn with_returns_that_are_not_carried_out_a_rule_breaks() {
     assert!(finds_something(Sabotage {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -2,6 +2,7 @@
 //! loses and cuts, around real controllers' state machines. Everything follows from the seed.
 
 pub mod cloud;
+mod frozen;
 pub mod state;
 pub mod workers;
 
@@ -25,6 +26,10 @@
 pub const REPORT_MS: u64 = 1_500;
 pub const CANCEL_MS: u64 = 35_000;
 pub const TEAM_LIMIT: f64 = 24.0;
+/// What the state service takes once its limits have shrunk.
+const NEXT_KB: f64 = 0.75;
+const NEXT_OPS: usize = 4;
+const NEXT_RATE: f64 = 60.0;
 
 /// Safeguards of the surroundings that a test may switch off, to show that the checker can fail.
 #[derive(Clone, Copy, Default)]
@@ -35,6 +40,8 @@
     pub false_returns: bool,
     /// Workers obey whatever token.
     pub no_tokens: bool,
+    /// Submissions lose the jobs that they need on their way.
+    pub no_needs: bool,
 }
 
 /// How rough the network and the surroundings are.
@@ -47,6 +54,9 @@
     pub crashes: bool,
     pub outages: bool,
     pub machine_faults: bool,
+    /// The controllers begin as the version before and are replaced one after the other; some time
+    /// afterwards the state service takes less.
+    pub roll: bool,
 }
 
 enum Event {
@@ -64,6 +74,9 @@
     Answer(usize, u64, CallId, CallResult),
     HintFor(usize, Hint),
     Crash(usize),
+    /// Killed, to come back as the new version.
+    Replace(usize),
+    Shrink,
     Restart(usize),
     Refuse(usize, bool),
     Outage(bool),
@@ -79,9 +92,13 @@
     controller: Option<Controller>,
     life: u64,
     started: u64,
+    /// Holds the format back, as the version before does by not knowing it.
+    old: bool,
 }
 
 pub struct User {
+    /// Users whose jobs this one's needs.
+    pub needs: Vec<usize>,
     pub job: String,
     pub spec: Value,
     pub tasks: u32,
@@ -144,6 +161,7 @@
          [[deployment.teams]]\nname = \"blue\"\ncpus = 8.0\ncpus_max = {TEAM_LIMIT}\n\
          [deployment.workers]\nreport_s = 1.5\nlease_s = 10.0\ncancel_s = 35.0\n\
          [deployment.state]\nrps = 300.0\nwrite_rps = 120.0\nvalue_kb = 16.0\ntxn_ops = 12\n\
+         [deployment.state.next]\nwrite_rps = {NEXT_RATE}\nvalue_kb = {NEXT_KB}\ntxn_ops = {NEXT_OPS}\n\
          [deployment.cloud]\nrps = 6.0\nlist_lag_s = 3.0\n\
          [deployment.limits]\ncore_share = 0.2\nmem_mb = 100.0\nsockets = 1000\n"
     );
@@ -185,6 +203,7 @@
                 controller: None,
                 life: 0,
                 started: 0,
+                old: weather.roll,
             });
             world.restart(i);
         }
@@ -213,18 +232,31 @@
         };
         let bound = self.rng.random_range(0..6u32);
         let job = format!("wk-{:06}", u + 1);
-        let spec = json!({"Ref": job, "Lote": "c", "Cuadrilla": team, "Feitio": "batch",
+        let mut spec = json!({"Ref": job, "Lote": "c", "Cuadrilla": team, "Feitio": "batch",
             "Precedencia": "normal", "Tarefas": tasks, "Cpus": cpus, "Gpus": 0.0, "MemGb": 1.0,
             "Matriz": format!("img-{}", u % 3), "PullGb": 1.0, "Modelos": null, "Parcela": zone,
             "Together": bound == 0, "Apart": bound == 1 && zone.is_none(),
             "Avulsas": self.rng.random_bool(0.5), "PrevisaoS": 5.0, "MarcoS": 0.0, "GuardaS": 0.0,
             "PrazoS": null});
+        // Some jobs need earlier ones, mostly the last: chains, and fans of several.
+        let mut needs: Vec<usize> = Vec::new();
+        if u > 0 && self.rng.random_bool(0.5) {
+            needs.push(u - 1);
+            if self.rng.random_bool(0.3) {
+                needs.push(self.rng.random_range(0..u));
+            }
+        }
         let submit_at = self.rng.random_range(2_000..40_000u64);
         let cancel_at = self
             .rng
             .random_bool(0.2)
             .then(|| submit_at + self.rng.random_range(500..40_000u64));
+        if !needs.is_empty() {
+            let names: Vec<String> = needs.iter().map(|n| format!("wk-{:06}", n + 1)).collect();
+            spec["Aguarda"] = json!(names);
+        }
         User {
+            needs,
             job,
             spec,
             tasks,
@@ -240,6 +272,15 @@
 
     fn draw_faults(&mut self) {
         let end = self.quiet_at;
+        if self.weather.roll {
+            let mut at = self.rng.random_range(4_000..45_000u64);
+            for node in 0..NODES {
+                self.at(at, Event::Replace(node));
+                at += self.rng.random_range(500..6_000u64);
+            }
+            at += self.rng.random_range(500..15_000u64);
+            self.at(at, Event::Shrink);
+        }
         if self.weather.crashes {
             for _ in 0..4 {
                 let (at, node) = (
@@ -306,11 +347,11 @@
         let node = &mut self.nodes[i];
         node.life += 1;
         node.started = now;
-        node.controller = Some(Controller::new(
-            settings(i),
-            OperatorSettings::default(),
-            Millis(1),
-        ));
+        let ops = OperatorSettings {
+            hold_format: node.old,
+            ..OperatorSettings::default()
+        };
+        node.controller = Some(Controller::new(settings(i), ops, Millis(1)));
         let life = node.life;
         self.after(1, Event::Tick(i, life));
     }
@@ -448,6 +489,14 @@
                 let ms = self.rng.random_range(500..9_000);
                 self.after(ms, Event::Restart(i));
             }
+            Event::Replace(i) => {
+                self.nodes[i].old = false;
+                self.handle(Event::Crash(i));
+            }
+            Event::Shrink => {
+                self.state.limits = ((NEXT_KB * 1024.0) as usize, NEXT_OPS);
+                self.state.write_rate = Some(NEXT_RATE);
+            }
             Event::Restart(i) => {
                 if self.nodes[i].controller.is_none() {
                     self.restart(i);
@@ -651,8 +700,16 @@
 
     fn user_next(&mut self, u: usize) {
         let node = self.rng.random_range(0..NODES);
+        if self.users[u].needs.iter().any(|n| !self.users[*n].accepted) {
+            // Users submit the jobs of a pipeline one after another.
+            self.after(500, Event::UserNext(u));
+            return;
+        }
         let user = &mut self.users[u];
-        let (job, spec) = (user.job.clone(), user.spec.clone());
+        let (job, mut spec) = (user.job.clone(), user.spec.clone());
+        if self.sabotage.no_needs {
+            spec["Aguarda"] = Value::Null;
+        }
         if user.cancel_at.is_some_and(|at| at <= self.now) && user.accepted {
             user.wants_cancel = true;
         }
@@ -697,6 +754,8 @@
             }
             Asked::Submit(u) | Asked::Poll(u) | Asked::Cancel(u) => {
                 let now = self.now;
+                // When a user was told that a job above this one is cancelled.
+                let above = self.cancelled_above(u);
                 let user = &mut self.users[u];
                 let job = user.job.clone();
                 if user.accepted && matches!(status, 404 | 400 | 422) {
@@ -710,7 +769,9 @@
                 user.accepted = true;
                 let went_back = (user.told_done && word != "done")
                     || (user.told_cancelled.is_some() && word != "aborted")
-                    || (word == "aborted" && !user.wants_cancel);
+                    || (word == "aborted" && !user.wants_cancel && above.is_none());
+                let orphaned = above.flatten().is_some_and(|at| now > at + CANCEL_MS)
+                    && matches!(word.as_str(), "queued" | "running");
                 if word == "done" {
                     user.told_done = true;
                 }
@@ -719,6 +780,9 @@
                 }
                 let tasks = user.tasks;
                 let all = self.finished.get(&job).map_or(0, |f| f.len() as u32);
+                if orphaned {
+                    self.broken.push(format!("orphaned: {job} is {word}"));
+                }
                 if went_back {
                     self.broken.push(format!("went_back: {job} is now {word}"));
                 }
@@ -730,6 +794,23 @@
         }
     }
 
+    /// Whether a user wants a job cancelled that this one needs, directly or through others, and
+    /// since when the first of them has been told that it is.
+    fn cancelled_above(&self, u: usize) -> Option<Option<u64>> {
+        let mut found: Option<Option<u64>> = None;
+        let mut queue = self.users[u].needs.clone();
+        while let Some(need) = queue.pop() {
+            let user = &self.users[need];
+            if user.wants_cancel {
+                let told = user.told_cancelled;
+                let before = found.flatten();
+                found = Some(before.map_or(told, |b| Some(told.map_or(b, |t| t.min(b)))));
+            }
+            queue.extend(&user.needs);
+        }
+        found
+    }
+
     // ---- the rules -----------------------------------------------------------------------
 
     fn check(&mut self) {
@@ -747,6 +828,13 @@
                     broken.push(format!("{} belongs to no job", task.name));
                     continue;
                 };
+                for need in &user.needs {
+                    let need = &self.users[*need];
+                    let done = self.finished.get(&need.job).map_or(0, BTreeSet::len);
+                    if done < need.tasks as usize {
+                        broken.push(format!("too_early: {} before {}", task.name, need.job));
+                    }
+                }
                 let team = user.spec["Cuadrilla"].as_str().unwrap_or("");
                 *used.entry(team).or_default() += user.cpus;
                 let zone = user.spec["Parcela"].as_str();
@@ -784,6 +872,12 @@
                 broken.push(format!("wrong_place: {job} is not apart"));
             }
         }
+        for lossy in &self.state.lossy {
+            broken.push(format!("lost by the version before: {lossy}"));
+        }
+        for large in &self.state.oversized {
+            broken.push(format!("too large for the state service: {large}"));
+        }
         self.broken.extend(broken);
     }
 
--- a/tests/world/state.rs
+++ b/tests/world/state.rs
@@ -1,5 +1,6 @@
 //! A stand-in for the state service, after its published protocol.
 
+use super::frozen::survives;
 use serde_json::{Value, json};
 use snowshelf::outbox::Method;
 use std::collections::BTreeMap;
@@ -29,6 +30,15 @@
     watches: Vec<Watch>,
     ignore_conditions: bool,
     outage: bool,
+    /// Largest value in bytes and changes in a transaction.
+    pub limits: (usize, usize),
+    /// Writes a second, if they are limited; what may be written at once now, and since when.
+    pub write_rate: Option<f64>,
+    level: (f64, u64),
+    /// Transactions refused for size after the format was settled.
+    pub oversized: Vec<String>,
+    /// Records written before the format was settled that the earlier version would lose.
+    pub lossy: Vec<String>,
 }
 
 fn bytes(value: Value) -> Vec<u8> {
@@ -53,9 +63,39 @@
             watches: Vec::new(),
             ignore_conditions,
             outage: false,
+            limits: (16 * 1024, 12),
+            write_rate: None,
+            level: (0.0, 0),
+            oversized: Vec::new(),
+            lossy: Vec::new(),
         }
     }
 
+    /// Whether the limits are kept, and if not, the answer.
+    fn refuse(&mut self, now: u64, body: &Value, changes: &[Value]) -> Reply {
+        let conditions = body["If"].as_array().map_or(0, Vec::len);
+        let (value_bytes, ops) = self.limits;
+        let large = changes.iter().find(|c| {
+            c["Value"].to_string().len() > value_bytes || c["Write"].as_str() == Some("")
+        });
+        if large.is_some() || changes.len() > ops || conditions > 4 * ops {
+            if self.keys.contains_key("format") {
+                let what = large.map_or(body.to_string(), Value::to_string);
+                self.oversized.push(what);
+            }
+            return Some((400, bytes(json!({"error": "too large"}))));
+        }
+        let rate = self.write_rate?;
+        let (level, at) = self.level;
+        let level = (level + (now - at) as f64 / 1000.0 * rate).min(rate);
+        self.level = (level, now);
+        if (changes.len() as f64) > level {
+            return Some((429, bytes(json!({"error": "slow down"}))));
+        }
+        self.level.0 -= changes.len() as f64;
+        None
+    }
+
     /// When an outage ends, every lease has its full time again.
     pub fn outage(&mut self, now: u64, on: bool) {
         self.outage = on;
@@ -104,7 +144,11 @@
         let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
         let bare = path.split('?').next().unwrap_or("");
         match (method, bare) {
-            (Method::Post, "/txn") => Some(self.txn(&body)),
+            (Method::Post, "/txn") => {
+                let changes = body["Apply"].as_array().cloned().unwrap_or_default();
+                let refused = self.refuse(now, &body, &changes);
+                refused.or_else(|| Some(self.txn(&body)))
+            }
             (Method::Post, "/leases") => {
                 self.next_lease += 1;
                 let ttl = body["TtlMs"].as_u64().unwrap_or(1_000);
@@ -206,6 +250,9 @@
         }
         for change in changes {
             if let Some(key) = change["Write"].as_str() {
+                if !self.keys.contains_key("format") && !survives(key, &change["Value"]) {
+                    self.lossy.push(format!("{key} {}", change["Value"]));
+                }
                 let entry = Key {
                     value: change["Value"].clone(),
                     version: self.revision,
