--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -528,6 +528,29 @@
     }
 }
 
+#[test]
+fn needed_jobs_are_read_once_each_and_named_when_wrong() {
+    let with = |list: serde_json::Value| {
+        let mut body = submission();
+        body["Aguarda"] = list;
+        parse_submission(body.to_string().as_bytes()).map(|s| s.needs)
+    };
+    assert_eq!(
+        with(serde_json::json!(["wk-2", "wk-1", "wk-2"])).unwrap(),
+        vec![name(1), name(2)]
+    );
+    for none in [serde_json::json!(null), serde_json::json!([])] {
+        assert!(with(none).unwrap().is_empty());
+    }
+    for wrong in [
+        serde_json::json!("wk-1"),
+        serde_json::json!(["wk-1", 7]),
+        serde_json::json!(["WK-1"]),
+    ] {
+        assert_eq!(with(wrong).unwrap_err().field, "Aguarda");
+    }
+}
+
 #[test]
 fn machines_spread_over_parts() {
     let mut counts = [0u32; 3];
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -41,7 +41,7 @@
     let world = play(1, CALM, Sabotage::default(), 150_000);
     assert_eq!(world.broken, Vec::<String>::new());
     assert_eq!(world.settled(), world.users.len());
-    assert!(world.starts > 0);
+    assert!(world.starts > 0 && world.dangling > 0);
     // The list of machines was read beyond its first page.
     assert!(world.cloud.later_pages > 0);
 }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -55,6 +55,26 @@
     }
 }
 
+/// The limits to come may be named in part, and never raise those in force.
+#[test]
+fn the_smaller_of_both_limits_counts() {
+    let with = |next: &str| {
+        let text = SOUND.replace(
+            "[deployment.cloud]",
+            &format!("[deployment.state.next]\n{next}\n[deployment.cloud]"),
+        );
+        Settings::parse(&text).map(|s| s.deployment.state.smaller())
+    };
+    let least = with("value_kb = 2.0\ntxn_ops = 40").unwrap();
+    assert_eq!((least.value_bytes(), least.txn_ops), (2048, 12));
+    assert_eq!((least.rps, least.write_rps), (100.0, 50.0));
+    for wrong in ["value_kb = -1.0", "txn_ops = 1", "write_rps = 0.0"] {
+        let field = wrong.split(' ').next().unwrap();
+        let error = with(wrong).unwrap_err().to_string();
+        assert!(error.contains(&format!("state.next.{field}")), "{error}");
+    }
+}
+
 #[test]
 fn operators_settings_follow_their_schema() {
     assert!(OperatorSettings::parse("{}").is_ok());
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -117,6 +117,8 @@
     Poll(usize),
     Cancel(usize),
     Stranger,
+    /// A submission that needs a job nobody submitted.
+    Dangling,
 }
 
 pub struct World {
@@ -138,6 +140,8 @@
     pub finished: BTreeMap<String, BTreeSet<u32>>,
     pub broken: Vec<String>,
     pub starts: u64,
+    /// Submissions refused because they need a job nobody submitted.
+    pub dangling: u64,
     refused: BTreeSet<usize>,
     outage: bool,
     quiet_at: u64,
@@ -194,6 +198,7 @@
             finished: BTreeMap::new(),
             broken: Vec::new(),
             starts: 0,
+            dangling: 0,
             refused: BTreeSet::new(),
             outage: false,
             quiet_at,
@@ -732,6 +737,11 @@
                 Vec::new(),
                 Asked::Stranger,
             );
+            let mut dangling = spec.clone();
+            dangling["Ref"] = json!("wk-777777");
+            dangling["Aguarda"] = json!(["wk-888888"]);
+            let body = dangling.to_string().into_bytes();
+            self.ask(node, "POST", "/api/jobs", body, Asked::Dangling);
             // An accepted job may be submitted again at any time.
             if self.users[u].accepted {
                 let body = spec.to_string().into_bytes();
@@ -746,6 +756,13 @@
         let word = value["Estado"].as_str().unwrap_or("").to_string();
         match asked {
             Asked::Worker(name, number) => self.worker_answer(&name, number, status, &body),
+            Asked::Dangling => {
+                self.dangling += u64::from(status == 422);
+                if status == 200 || status == 201 {
+                    self.broken
+                        .push("accepted: a job that needs an unknown one".into());
+                }
+            }
             Asked::Stranger => {
                 if status == 200 {
                     self.broken
