--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -104,6 +104,8 @@
     pub image: Image,
     /// Images being fetched here, which share one line.
     pub fetches: usize,
+    /// For a job that cannot wait: when a task could run here, in steps too small to matter.
+    pub delay: u32,
 }
 
 pub fn rank(weights: Room, free: Room, task: Room, want: u32) -> f64 {
@@ -170,7 +172,7 @@
                 Image::Cached => 0,
                 Image::Coming | Image::Absent => seat.fetches,
             };
-            let first = (seat.spared, seat.image, fetches);
+            let first = (seat.spared, seat.delay, seat.image, fetches);
             (first, rank, std::cmp::Reverse(fit), i)
         })
         .collect();
--- a/src/coordination/shard/placing.rs
+++ b/src/coordination/shard/placing.rs
@@ -30,6 +30,8 @@
     job: JobId,
     /// Whether it can wait for machines that have its image.
     patient: bool,
+    /// Whether every second counts: it is within its team's guarantee, or others wait for it.
+    urgent: bool,
 }
 
 impl Shard {
@@ -127,6 +129,7 @@
                     rank: (!within.contains(id), Reverse(urgency.priority), missed),
                     due: urgency.latest.map_or(due, |latest| due.min(latest)),
                     job: id.clone(),
+                    urgent: within.contains(id) || urgency.latest.is_some(),
                     patient: missed > 0 || age_s < env.cfg.ops.image_patience * patience_s,
                 })
             })
@@ -136,7 +139,7 @@
     }
 
     /// A machine as placement sees it for one job.
-    fn seat(&self, id: &JobId, open: &Open, m: &Machine, env: &Env) -> Seat {
+    fn seat(&self, id: &JobId, open: &Open, m: &Machine, urgent: bool, env: &Env) -> Seat {
         let job = self.jobs.get(id);
         let zone = env.cfg.settings.deployment.zones.get(m.zone);
         let spec = job.and_then(|j| j.spec());
@@ -152,16 +155,42 @@
             // It failed a task and completed none since: one at a time.
             1u32.saturating_sub(m.listed.len() as u32)
         };
+        let image = job.map_or(Image::Absent, |j| m.image(j.image));
         Seat {
             free: open.free,
             zone: m.zone,
             cap,
             spared: spec.is_some_and(|s| s.spot) && !m.spot,
-            image: job.map_or(Image::Absent, |j| m.image(j.image)),
+            image,
             fetches: m.images.coming.len(),
+            delay: spec
+                .filter(|_| urgent)
+                .map_or(0, |s| self.delay(s, image, m, env)),
         }
     }
 
+    /// How soon a task could run on a machine, in quarters of the time between two reports: commands
+    /// ride on reports, and the image may have to be fetched, sharing the line with others.
+    fn delay(&self, spec: &JobSpec, image: Image, m: &Machine, env: &Env) -> u32 {
+        let report_ms = env.cfg.settings.report_ms().max(1);
+        let rate = env.types.get(&m.model).map_or(0.0, |t| t.fetch_gb_per_s);
+        let fetch_ms = if rate > 0.0 {
+            seconds_to_ms(spec.pull_gb / rate)
+        } else {
+            0
+        };
+        let fetch_ms = match image {
+            Image::Cached => 0,
+            Image::Coming => fetch_ms / 2,
+            Image::Absent => fetch_ms * (1 + m.images.coming.len() as u64),
+        };
+        let report_in = match m.held {
+            Some(_) => 0,
+            None => report_ms.saturating_sub(env.out.now.since(m.heard)),
+        };
+        ((fetch_ms + report_in) * 4 / report_ms).min(1_000) as u32
+    }
+
     /// One pass of placement over the waiting jobs.
     pub(super) fn place(&mut self, env: &mut Env) {
         let now = env.now();
@@ -193,10 +222,10 @@
             // A fetch often takes longer than the task: jobs that can still wait leave room on
             // machines without their image to those that need no fetch there.
             for turn in equals {
-                self.place_job(&turn.job, turn.patient, &mut rooms, weights, &mut used, env);
+                self.place_job(turn, turn.patient, &mut rooms, weights, &mut used, env);
             }
             for turn in equals.iter().filter(|t| t.patient) {
-                self.place_job(&turn.job, false, &mut rooms, weights, &mut used, env);
+                self.place_job(turn, false, &mut rooms, weights, &mut used, env);
             }
         }
         self.dirty = false;
@@ -216,7 +245,7 @@
     /// where its image is or is being fetched.
     fn place_job(
         &mut self,
-        id: &JobId,
+        turn: &Turn,
         only_with_image: bool,
         rooms: &mut [Open],
         weights: Room,
@@ -224,6 +253,7 @@
         env: &Env,
     ) {
         let now = env.now();
+        let id = &turn.job;
         let Some(job) = self.jobs.get(id) else {
             return;
         };
@@ -251,7 +281,7 @@
             .iter()
             .filter_map(|i| {
                 let m = self.machines.get(&rooms[*i].name)?;
-                let mut seat = self.seat(id, &rooms[*i], m, env);
+                let mut seat = self.seat(id, &rooms[*i], m, turn.urgent, env);
                 if only_with_image && seat.image == Image::Absent {
                     seat.cap = 0;
                 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -219,6 +219,7 @@
         cap: 99,
         image,
         fetches: 0,
+        delay: 0,
     };
     let seats = [
         seat(2.0, true, Image::Cached),
@@ -258,6 +259,7 @@
         spared: false,
         image: Image::Cached,
         fetches: 0,
+        delay: 0,
     };
     let task = want(1, true).room;
     let placed = |mut zones: ZoneRule| {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -386,7 +386,7 @@
         let task = Room { cpus: 2.0, gpus: 0.0, mem: 0.0 };
         let seats: Vec<Seat> = seats.into_iter().map(|(cpus, zone, cap, has_image)| Seat {
             free: Room { cpus, gpus: 0.0, mem: 1.0 }, zone, cap, spared: false,
-            image: if has_image { Image::Cached } else { Image::Absent }, fetches: 0,
+            image: if has_image { Image::Cached } else { Image::Absent }, fetches: 0, delay: 0,
         }).collect();
         let mut zones = ZoneRule { together, most, ..ZoneRule::default() };
         let chosen = place(task, want, &seats, Room { cpus: 1.0, gpus: 0.0, mem: 0.0 }, &mut zones);
