--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -209,6 +209,13 @@
         );
     }
 
+    /// Asks whether keys still have the versions known here.
+    pub fn compare(&mut self, out: &mut Outbox, tag: T, txn: &Txn, timeout_ms: u64) {
+        let body = serde_json::to_vec(txn).unwrap_or_default();
+        let path = "/txn".to_string();
+        self.send(out, tag, Kind::Txn, Method::Post, path, body, timeout_ms);
+    }
+
     pub fn get(&mut self, out: &mut Outbox, tag: T, key: &str, timeout_ms: u64) {
         let path = format!("/kv/{key}");
         self.send(
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -425,6 +425,11 @@
                 self.gateway = gateway;
                 self.changed(vec![Changed::Job(job)]);
             }
+            (Tag::Polls(id), Reply::Txn(result)) => {
+                let mut gateway = std::mem::take(&mut self.gateway);
+                gateway.polls_done(id, result, &mut self.env());
+                self.gateway = gateway;
+            }
             (Tag::Needed(asker, job), Reply::Get(result)) => {
                 if let GetResult::Found(item) = &result {
                     self.mirror
@@ -558,6 +563,7 @@
         let away = self.state_silent_ms() >= UNSERVED_MS;
         let mut gateway = std::mem::take(&mut self.gateway);
         gateway.rooms = rooms;
+        gateway.flush_polls(&mut self.env());
         if away {
             gateway.refuse_all(&mut self.env());
         } else {
--- a/src/coordination/env.rs
+++ b/src/coordination/env.rs
@@ -28,6 +28,8 @@
     ClaimTxn(PartId, Token, JobId, Txn),
     Accept(u64),
     Read(ConnId, JobId, ReadFor),
+    /// Polls answered by the mirror if it is not behind.
+    Polls(u64),
     Cancel(u64),
     /// A job that waiting ones, or a submission, need.
     Needed(Option<u64>, JobId),
--- a/src/coordination/gateway.rs
+++ b/src/coordination/gateway.rs
@@ -18,6 +18,9 @@
 
 /// How long submissions gather to share a transaction.
 const GATHER_MS: u64 = 15;
+/// How long polls gather to share a request, and how long its answer may take.
+const POLLS_GATHER_MS: u64 = 25;
+const POLLS_MS: u64 = 1_500;
 /// How often a cancellation that met another write is tried again before the user is asked to.
 const CANCEL_TRIES: u32 = 5;
 /// Keys that accepting a job mostly writes: its own and one or two shares.
@@ -71,6 +74,11 @@
     cascade_at: Millis,
     /// Jobs that the cascade leaves alone until then.
     left_alone: HashMap<JobId, Millis>,
+    /// Polls of jobs that the mirror has, and since when the first of them waits for others to share
+    /// a request with.
+    polls: Vec<(ConnId, JobId)>,
+    polls_since: Millis,
+    polled: HashMap<u64, Vec<(ConnId, JobId)>>,
     next: u64,
     /// Room by part, as far as known.
     pub rooms: BTreeMap<PartId, PartRoom>,
@@ -440,6 +448,21 @@
             self.tell_final(conn, job, end, why, env);
             return;
         }
+        if matches!(why, ReadFor::Poll)
+            && env.mirror.jobs.contains_key(job)
+            && !env.graph.doomed.contains(job)
+        {
+            if self.polls.is_empty() {
+                self.polls_since = env.now();
+            }
+            self.polls.push((conn, job.clone()));
+            return;
+        }
+        self.read_alone(conn, job, why, env);
+    }
+
+    /// Reads one job's key.
+    fn read_alone(&mut self, conn: ConnId, job: &JobId, why: ReadFor, env: &mut Env) {
         let class = match why {
             ReadFor::Poll => Class::Reads,
             ReadFor::Resubmit | ReadFor::Refuse(_) | ReadFor::Cancel => Class::Accept,
@@ -453,6 +476,89 @@
         env.store.get(env.out, tag, &job_key(job), 1_500);
     }
 
+    /// Asks for the gathered polls, in one request for as many as it may compare, whether the mirror
+    /// is behind: what nobody has changed since may be told from it.
+    pub fn flush_polls(&mut self, env: &mut Env) {
+        let now = env.now();
+        let most = 4 * env.terms.txn_ops;
+        while !self.polls.is_empty()
+            && (now.since(self.polls_since) >= POLLS_GATHER_MS || self.polls.len() >= most)
+        {
+            let batch: Vec<(ConnId, JobId)> =
+                self.polls.drain(..most.min(self.polls.len())).collect();
+            if !env.store.may(now, Class::Reads, 0) {
+                for (conn, _) in batch {
+                    let later = Response::later(503, "too many requests", 1);
+                    env.out.respond(conn, later);
+                }
+                continue;
+            }
+            let jobs: BTreeSet<&JobId> = batch.iter().map(|(_, job)| job).collect();
+            let txn = jobs.into_iter().fold(Txn::default(), |txn, job| {
+                let known = env.mirror.jobs.get(job).map(|v| v.version);
+                txn.when(job_key(job), known.unwrap_or_default())
+            });
+            self.next += 1;
+            self.polled.insert(self.next, batch);
+            let tag = Tag::Polls(self.next);
+            env.store.compare(env.out, tag, &txn, POLLS_MS);
+        }
+    }
+
+    /// The answer to a comparison for polls.
+    pub fn polls_done(&mut self, id: u64, result: TxnResult, env: &mut Env) {
+        let batch = self.polled.remove(&id).unwrap_or_default();
+        match result {
+            TxnResult::Done(_) => {
+                for (conn, job) in batch {
+                    match (env.mirror.final_of(&job), env.mirror.jobs.get(&job)) {
+                        (Some(end), _) => self.tell_final(conn, &job, end, ReadFor::Poll, env),
+                        (None, Some(v)) => {
+                            let record = v.value.clone();
+                            self.tell_open(conn, &job, &record, ReadFor::Poll, env);
+                        }
+                        (None, None) => self.read_alone(conn, &job, ReadFor::Poll, env),
+                    }
+                }
+            }
+            TxnResult::Conflict(keys) => {
+                for (conn, job) in batch {
+                    if keys.contains(&job_key(&job)) {
+                        self.read_alone(conn, &job, ReadFor::Poll, env);
+                    } else {
+                        // Compared once more, without those that have changed.
+                        self.polls_since = Millis(0);
+                        self.polls.push((conn, job));
+                    }
+                }
+            }
+            _ => {
+                for (conn, _) in batch {
+                    let later = Response::later(503, "the state service did not answer", 1);
+                    env.out.respond(conn, later);
+                }
+            }
+        }
+    }
+
+    /// Tells the state of a job that has not ended.
+    fn tell_open(
+        &mut self,
+        conn: ConnId,
+        job: &JobId,
+        record: &JobRecord,
+        why: ReadFor,
+        env: &mut Env,
+    ) {
+        let (done, running) = env.mirror.counts(job, &record.parts, record.tasks);
+        let word = user::state_word(record.state, running);
+        let body = match why {
+            ReadFor::Poll => user::full(job, word, done, running),
+            _ => user::brief(job, word),
+        };
+        env.out.respond(conn, Response::new(200, body));
+    }
+
     fn tell_final(&mut self, conn: ConnId, job: &JobId, end: Final, why: ReadFor, env: &mut Env) {
         let word = user::state_word(end.state, 0);
         let body = match why {
@@ -517,13 +623,7 @@
         let doomed = env.graph.doomed.contains(job);
         match why {
             ReadFor::Poll | ReadFor::Resubmit | ReadFor::Refuse(_) if !doomed => {
-                let (done, running) = env.mirror.counts(job, &record.parts, record.tasks);
-                let word = user::state_word(record.state, running);
-                let body = match why {
-                    ReadFor::Poll => user::full(job, word, done, running),
-                    _ => user::brief(job, word),
-                };
-                env.out.respond(conn, Response::new(200, body));
+                self.tell_open(conn, job, &record, why, env);
             }
             _ => {
                 let exists = |label: &str| env.types.contains_key(label);
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -48,7 +48,8 @@
 pub struct Txn {
     #[serde(rename = "If")]
     pub conditions: Vec<Condition>,
-    #[serde(rename = "Apply")]
+    /// Without any, the transaction only compares.
+    #[serde(rename = "Apply", skip_serializing_if = "Vec::is_empty")]
     pub changes: Vec<Change>,
 }
 
