Scarce writes go to starts that keep most tasks waiting; ends of single tasks wait

Ruled out: requests, which are at 60%. Changed: ends alone are written only from a full bucket (or after 15 s), among starts the share goes first whose tasks have waited longest in sum, and a batch of submissions is no larger than the budget has room for (a larger one waited for a full bucket until it was refused).

--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -12,6 +12,8 @@
     Accept,
     Ends,
     Starts,
+    /// What is as well written later.
+    Spare,
     Reads,
 }
 
@@ -23,7 +25,7 @@
             Class::Accept => 0.1,
             Class::Ends => 0.15,
             Class::Starts => 0.25,
-            Class::Reads => 0.3,
+            Class::Reads | Class::Spare => 0.3,
         }
     }
 
@@ -33,6 +35,8 @@
         match self {
             Class::Ends => 0.4,
             Class::Starts => 0.5,
+            // Only from a bucket that nobody else draws on.
+            Class::Spare => 0.8,
             Class::Ownership | Class::Accept | Class::Reads => self.reserve(),
         }
     }
--- a/src/coordination/gateway.rs
+++ b/src/coordination/gateway.rs
@@ -317,7 +317,10 @@
         if now.since(oldest) < GATHER_MS || self.batches.len() >= ACCEPTS_UNDERWAY {
             return;
         }
-        let max_ops = env.terms.txn_ops;
+        // A batch larger than the budget has room for would wait until the bucket is full, while
+        // smaller writes keep drawing on it.
+        let room = env.store.room(now, Class::Accept);
+        let max_ops = env.terms.txn_ops.min(room);
         self.given.retain(|(at, _, _)| now.since(*at) < GIVEN_MS);
         let mut rooms = self.rooms.clone();
         for (_, part, cpus) in &self.given {
@@ -332,7 +335,7 @@
                 let fetch_s = fetch_s(&accept.spec, env);
                 split(&accept.job, &accept.spec, fetch_s, env.cfg.parts, &rooms)
             };
-            if shares.len() + 1 > max_ops {
+            if shares.len() + 1 > env.terms.txn_ops {
                 let (part, _) = shares[0];
                 shares = vec![(part, Spans::range(0, accept.spec.tasks, 1))];
             }
--- a/src/coordination/shard/job.rs
+++ b/src/coordination/shard/job.rs
@@ -7,6 +7,7 @@
 
 pub(super) struct NumberedStep {
     pub id: u64,
+    pub taken: Millis,
     pub step: Step,
 }
 
@@ -78,6 +79,12 @@
         self.started = view.started_count();
         self.view = view;
     }
+    /// For how long its starts have waited to be durable, all together: when writes are scarce, the
+    /// share goes first that keeps most tasks waiting.
+    pub fn waited_starts(&self, now: Millis) -> u64 {
+        let starts = self.steps.iter().filter(|s| s.step.what == StepKind::Start);
+        starts.map(|s| now.since(s.taken).max(1)).sum()
+    }
     /// Whether there is something to write, and how much it presses.
     pub fn press(&self) -> Option<Press> {
         if self.in_flight || self.reading {
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -318,6 +318,7 @@
         }
         entry.steps.push(NumberedStep {
             id: self.next_step,
+            taken: now,
             step,
         });
         self.dirty = true;
--- a/src/coordination/shard/writing.rs
+++ b/src/coordination/shard/writing.rs
@@ -8,11 +8,15 @@
 use crate::ids::{JobId, Millis, Version, WallMs};
 use crate::protocol::state::{Change, Txn};
 use serde_json::Value;
+use std::cmp::Reverse;
 
 /// How long starts gather before they are written, so that several share a transaction.
 const GATHER_MS: u64 = 60;
-/// How long ends of tasks gather: nobody waits for them until the share's last one.
+/// How long ends of tasks gather: nobody waits for them until the share's last one, and a start of
+/// the same share takes them along.
 const ENDS_GATHER_MS: u64 = 2_000;
+/// After so long they are written even if that keeps starts waiting.
+const ENDS_LATEST_MS: u64 = 15_000;
 /// Bytes of a transaction's body that may be used.
 const TXN_BYTES: usize = 56 * 1024;
 
@@ -41,12 +45,19 @@
         if self.flight.is_some() || self.deposed || now < self.retry_at {
             return;
         }
-        let mut ready: Vec<(Press, Millis, JobId)> = self
+        let mut ready: Vec<(Press, Reverse<u64>, Millis, JobId)> = self
             .jobs
             .iter()
             .filter(|(_, j)| j.hold_until <= now)
-            .filter_map(|(id, j)| Some((j.press()?, j.since, id.clone())))
-            .filter(|(press, since, _)| {
+            .filter_map(|(id, j)| {
+                Some((
+                    j.press()?,
+                    Reverse(j.waited_starts(now)),
+                    j.since,
+                    id.clone(),
+                ))
+            })
+            .filter(|(press, _, since, _)| {
                 let gather = match press {
                     Press::Ends => ENDS_GATHER_MS,
                     Press::Settle | Press::Starts => GATHER_MS,
@@ -59,8 +70,10 @@
         }
         ready.sort();
         let class = match ready[0].0 {
-            Press::Settle | Press::Ends => Class::Ends,
+            Press::Settle => Class::Ends,
             Press::Starts => Class::Starts,
+            Press::Ends if now.since(ready[0].2) > ENDS_LATEST_MS => Class::Starts,
+            Press::Ends => Class::Spare,
         };
         // More than the budget has room for would wait until the bucket is full, and keep
         // everything else waiting after it.
@@ -69,7 +82,7 @@
         let mut txn = Txn::default().when(part_key(self.part), Version(self.token.0));
         let mut jobs = Vec::new();
         let mut bytes = 200;
-        for (_, _, id) in ready {
+        for (_, _, _, id) in ready {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
