--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -33,8 +33,10 @@
 const HEARD_MS: u64 = 10_000;
 /// Without service for so long, this controller says that the state service does not serve it.
 const UNSERVED_MS: u64 = 1_500;
-/// Share of the state service's budget that the controllers use together.
+/// Share of the state service's budget that the controllers use together: of requests, which it
+/// counts when they arrive, and of writes, which few messages carry.
 const BUDGET: f64 = 0.92;
+const WRITES_BUDGET: f64 = 0.97;
 /// The least time between two workings out of what needs what.
 const GRAPH_MS: u64 = 50;
 /// Most jobs at once that are read because waiting ones need them and nothing is known of them.
@@ -73,7 +75,10 @@
     pub fn new(settings: Settings, ops: OperatorSettings, now: Millis) -> Controller {
         let nodes = f64::from(settings.deployment.nodes);
         let terms = terms(Format::Narrow, false, &settings.deployment.state);
-        let store = Store::new(BUDGET * terms.rps / nodes, BUDGET * terms.write_rps / nodes);
+        let store = Store::new(
+            BUDGET * terms.rps / nodes,
+            WRITES_BUDGET * terms.write_rps / nodes,
+        );
         let cloud = CloudClient::new(OWNER_CLOUD * settings.deployment.cloud.rps);
         let seed = settings
             .member
@@ -605,8 +610,11 @@
         if now != self.terms {
             tracing::info!(format = ?now.format, value_bytes = now.value_bytes, txn_ops = now.txn_ops,
                 rps = now.rps, write_rps = now.write_rps, "writes keep to other terms");
-            let share = BUDGET / f64::from(self.cfg.parts);
-            self.store.set_rates(share * now.rps, share * now.write_rps);
+            let nodes = f64::from(self.cfg.parts);
+            self.store.set_rates(
+                BUDGET * now.rps / nodes,
+                WRITES_BUDGET * now.write_rps / nodes,
+            );
             self.terms = now;
         }
     }
--- a/src/coordination/shard/quota.rs
+++ b/src/coordination/shard/quota.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeSet, HashMap};
 
 /// The least time between two moves of a team's grant by one part.
-const QUOTA_GAP_MS: u64 = 400;
+const QUOTA_GAP_MS: u64 = 1_000;
 
 #[derive(Default)]
 pub(super) struct QuotaState {
