Grants move in steps; what the state service refuses as it is, is not sent again at once

A part now asks for at least a fortieth of its even share of the limit, and gives up no less. Ruled out before: reports held longer, images, idle machines.

--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -308,6 +308,11 @@
         let now = self.out.now;
         let known = self.mirror.types.as_ref();
         let same = known.is_some_and(|k| *k.value == types);
+        let value = serde_json::to_value(&types).unwrap_or_default();
+        if !self.terms.takes(&value) {
+            tracing::error!(types = types.len(), "too many machine types for one value");
+            return;
+        }
         if same || self.publishing || !self.store.may(now, Class::Accept, 1) {
             return;
         }
--- a/src/coordination/shard/quota.rs
+++ b/src/coordination/shard/quota.rs
@@ -1,6 +1,7 @@
 //! A team's limit, divided into grants by part: asked for, given up, and never overdrawn.
 
 use super::Shard;
+use super::writing::REFUSED_MS;
 use crate::bookkeeping::records::{Grant, JobState, QuotaRecord, part_key, quota_key};
 use crate::bookkeeping::store::{Class, TxnResult};
 use crate::coordination::env::{Env, Tag};
@@ -10,6 +11,8 @@
 
 /// The least time between two moves of a team's grant by one part.
 const QUOTA_GAP_MS: u64 = 1_000;
+/// In so many steps a part's even share of a team's limit is given.
+const STEPS: f64 = 40.0;
 
 #[derive(Default)]
 pub(super) struct QuotaState {
@@ -77,11 +80,14 @@
             let durable = record.grants.get(&self.part).copied().unwrap_or_default();
             let unsettled = self.quota.get(&team).is_some_and(|q| q.ceiling.is_some());
             let short = self.short_of.get(&team).copied();
+            // Every move is a write: grants go up and down in steps, a small share of the limit.
+            let step = |limit: f64| limit / f64::from(env.cfg.parts) / STEPS;
+            let wanted = |lack: Grant| Grant {
+                cpus: used.cpus + lack.cpus.max(step(limit.cpus)),
+                gpus: used.gpus + lack.gpus.max(step(limit.gpus)),
+            };
             let mut wish = match short {
-                Some(lack) => Grant {
-                    cpus: used.cpus + lack.cpus,
-                    gpus: used.gpus + lack.gpus,
-                },
+                Some(lack) => wanted(lack),
                 None => durable,
             };
             if others_short.contains(&team) {
@@ -90,8 +96,8 @@
                 let share = demand_share(&team, self.part, env);
                 let fair = match short {
                     Some(lack) => Grant {
-                        cpus: (limit.cpus * share).min(used.cpus + lack.cpus),
-                        gpus: (limit.gpus * share).min(used.gpus + lack.gpus),
+                        cpus: (limit.cpus * share).min(wanted(lack).cpus),
+                        gpus: (limit.gpus * share).min(wanted(lack).gpus),
                     },
                     None => Grant::default(),
                 };
@@ -102,8 +108,13 @@
             }
             let next = record.regrant(self.part, wish, used, limit);
             let granted = next.grants.get(&self.part).copied().unwrap_or_default();
-            let same = (granted.cpus - durable.cpus).abs() < 0.5
-                && (granted.gpus - durable.gpus).abs() < 0.5;
+            // What a part lacks is never too little to be asked for; what it gives up may be.
+            let near = |granted: f64, durable: f64, limit: f64| {
+                let least = if granted < durable { step(limit) } else { 0.0 };
+                (granted - durable).abs() < least.max(0.5)
+            };
+            let same = near(granted.cpus, durable.cpus, limit.cpus)
+                && near(granted.gpus, durable.gpus, limit.gpus);
             if same && !unsettled {
                 continue;
             }
@@ -159,9 +170,9 @@
                 let tag = Tag::QuotaRead(self.part, self.token, key.clone());
                 env.store.get(env.out, tag, &key, 1_500);
             }
-            TxnResult::NotDone | TxnResult::Refused | TxnResult::NoLease => {
-                state.retry_at = now.plus(500)
-            }
+            // The same write would be refused again.
+            TxnResult::Refused => state.retry_at = now.plus(REFUSED_MS),
+            TxnResult::NotDone | TxnResult::NoLease => state.retry_at = now.plus(500),
             TxnResult::Unknown => {
                 // A lowered grant stays lowered until a later write settles the key.
                 state.retry_at = now.plus(500);
--- a/src/coordination/shard/writing.rs
+++ b/src/coordination/shard/writing.rs
@@ -35,8 +35,8 @@
     record: Option<Value>,
 }
 
-/// For so long a share is left alone whose write alone was refused as it is.
-const REFUSED_MS: u64 = 5_000;
+/// For so long a record is left alone whose write alone was refused as it is.
+pub(super) const REFUSED_MS: u64 = 5_000;
 
 impl Shard {
     /// Writes gathered steps in one transaction, as many as the budget has room for.
