Long lists of needed jobs are kept in pieces; records shown to fit into 2 KiB

A body of 64 KiB can name thousands of jobs, a value may be 2 KiB: the list is written in values of its own before the job's key makes them count, each transaction within the limit and on condition that no such job is accepted. Tests: the job starts only when every piece is known and every job done; grants of 16 parts and 8 machine types fit as they are.

--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -55,6 +55,8 @@
     pub quotas: BTreeMap<Team, Versioned<QuotaRecord>>,
     pub leader: Option<Versioned<PartRecord>>,
     pub types: Option<Versioned<Vec<MachineType>>>,
+    /// Lists of needed jobs that have values of their own, of jobs that have not ended.
+    pub needs: BTreeMap<(JobId, u32), Rc<Vec<JobId>>>,
     /// Controllers that have said that they read the wide format.
     pub wide_members: BTreeSet<Member>,
     /// How records are to be written, as far as it is settled.
@@ -92,6 +94,15 @@
         self.finals.get(job).copied()
     }
 
+    /// What a job needs; `None` if a part of the list is not known here.
+    pub fn needs_of<'a>(&'a self, job: &JobId, record: &'a JobRecord) -> Option<Vec<&'a JobId>> {
+        let mut needs: Vec<&JobId> = record.needs.iter().collect();
+        for piece in 0..record.needs_pieces {
+            needs.extend(self.needs.get(&(job.clone(), piece))?.iter());
+        }
+        Some(needs)
+    }
+
     pub fn knows_job(&self, job: &JobId) -> bool {
         self.finals.contains_key(job) || self.jobs.contains_key(job)
     }
@@ -100,6 +111,7 @@
         if !record.is_final() {
             return;
         }
+        self.needs.retain(|(of, _), _| of != job);
         let end = Final {
             state: record.state,
             tasks: record.tasks,
@@ -169,6 +181,17 @@
             }
             return Some(Changed::Job(job));
         }
+        if let Some((job, piece)) = key.strip_prefix("needs/").and_then(|k| k.split_once('/')) {
+            let job = JobId::new(job);
+            if let Ok(piece) = piece.parse()
+                && !self.finals.contains_key(&job)
+                && let Some(list) = value.and_then(|v| read(key, v))
+            {
+                self.needs.insert((job.clone(), piece), Rc::new(list));
+                self.job_changes += 1;
+            }
+            return Some(Changed::Job(job));
+        }
         if let Some((part, job)) = split_alloc(key) {
             set(&mut self.allocs, (part, job.clone()), key, value, version);
             return Some(Changed::Alloc(part, job));
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -124,12 +124,23 @@
     /// Jobs that must be done before any task of this one starts; only in the wide format.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub needs: Vec<JobId>,
+    /// So many values of their own hold what it needs, if that is too long for this one.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub needs_pieces: u32,
     /// When it was done; only in the wide format.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ended: Option<WallMs>,
 }
 
+fn is_zero(n: &u32) -> bool {
+    *n == 0
+}
+
 impl JobRecord {
+    /// Whether it needs other jobs.
+    pub fn has_needs(&self) -> bool {
+        !self.needs.is_empty() || self.needs_pieces > 0
+    }
     pub fn is_final(&self) -> bool {
         self.state != JobState::Open
     }
@@ -143,7 +154,7 @@
                 next.ended = (terms.format == Format::Wide).then_some(now);
             }
             next.spec = None;
-            next.needs = Vec::new();
+            (next.needs, next.needs_pieces) = (Vec::new(), 0);
         }
         next
     }
@@ -151,7 +162,7 @@
     pub fn cancelled(&self) -> JobRecord {
         let mut next = self.clone();
         next.state = JobState::Cancelled;
-        next.needs = Vec::new();
+        (next.needs, next.needs_pieces) = (Vec::new(), 0);
         if next.parts.is_empty() {
             next.spec = None;
         }
@@ -197,6 +208,26 @@
         value.to_string().len() + SPARE_BYTES <= self.value_bytes
     }
 
+    /// A long list of needed jobs in values that are small enough: the same list, the same pieces,
+    /// whichever controller divides it.
+    pub fn pieces(&self, needs: &[JobId]) -> Vec<Vec<JobId>> {
+        let room = self.value_bytes.saturating_sub(SPARE_BYTES + 2);
+        let mut pieces: Vec<Vec<JobId>> = Vec::new();
+        let mut left = 0;
+        for need in needs {
+            let bytes = need.as_str().len() + 3;
+            match pieces.last_mut() {
+                Some(piece) if bytes <= left => piece.push(need.clone()),
+                _ => {
+                    pieces.push(vec![need.clone()]);
+                    left = room;
+                }
+            }
+            left = left.saturating_sub(bytes);
+        }
+        pieces
+    }
+
     /// A share's value; `None` if it is too large now. It shrinks as tasks end.
     pub fn share(&self, alloc: &Alloc) -> Option<Value> {
         let value = match self.format {
@@ -461,5 +492,8 @@
 pub fn member_key(member: &Member) -> String {
     format!("member/{member}")
 }
+pub fn needs_key(job: &JobId, piece: u32) -> String {
+    format!("needs/{job}/{piece}")
+}
 pub const FORMAT_KEY: &str = "format";
 pub const LEADER_KEY: &str = "leader";
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -435,6 +435,11 @@
                 self.gateway = gateway;
                 self.changed(vec![Changed::Job(job)]);
             }
+            (Tag::Pieces(id), Reply::Txn(result)) => {
+                let mut gateway = std::mem::take(&mut self.gateway);
+                gateway.pieces_done(id, result, &mut self.env());
+                self.gateway = gateway;
+            }
             (Tag::Polls(id), Reply::Txn(result)) => {
                 let mut gateway = std::mem::take(&mut self.gateway);
                 gateway.polls_done(id, result, &mut self.env());
@@ -574,6 +579,7 @@
         let mut gateway = std::mem::take(&mut self.gateway);
         gateway.rooms = rooms;
         gateway.flush_polls(&mut self.env());
+        gateway.flush_pieces(&mut self.env());
         if away {
             gateway.refuse_all(&mut self.env());
         } else {
@@ -638,7 +644,16 @@
             let mirror = &self.mirror;
             let wall = WallMs(self.out.wall_ms);
             let final_of = |id: &JobId| mirror.final_of(id);
-            self.graph = Graph::build(&mirror.jobs, final_of, length_ms, wall, &self.graph);
+            let needs_of = |id: &JobId, record| mirror.needs_of(id, record);
+            let graph = Graph::build(
+                &mirror.jobs,
+                needs_of,
+                final_of,
+                length_ms,
+                wall,
+                &self.graph,
+            );
+            self.graph = graph;
         }
         if self.graph.unknown.is_empty() || now.since(self.looked_up) < LOOK_UP_MS {
             return;
--- a/src/coordination/env.rs
+++ b/src/coordination/env.rs
@@ -28,6 +28,8 @@
     ClaimTxn(PartId, Token, JobId, Txn),
     Accept(u64),
     Read(ConnId, JobId, ReadFor),
+    /// A part of the long list of jobs that a submission needs.
+    Pieces(u64),
     /// Polls answered by the mirror if it is not behind.
     Polls(u64),
     Cancel(u64),
--- a/src/coordination/gateway.rs
+++ b/src/coordination/gateway.rs
@@ -5,7 +5,7 @@
 use super::peers::PartRoom;
 use crate::bookkeeping::mirror::Final;
 use crate::bookkeeping::records::{
-    Alloc, Format, Grant, JobRecord, JobSpec, JobState, Kind, alloc_key, job_key,
+    Alloc, Format, Grant, JobRecord, JobSpec, JobState, Kind, alloc_key, job_key, needs_key,
 };
 use crate::bookkeeping::spans::Spans;
 use crate::bookkeeping::store::{Class, GetResult, TxnResult};
@@ -44,9 +44,20 @@
     job: JobId,
     spec: JobSpec,
     needs: Vec<JobId>,
+    /// What it needs has been written in so many values of their own.
+    pieces: u32,
     since: Millis,
 }
 
+/// A submission whose needs are being written in pieces, before its own key makes them count.
+struct Dividing {
+    accept: Accept,
+    pieces: Vec<Vec<JobId>>,
+    written: usize,
+    /// So many are in the transaction underway.
+    underway: usize,
+}
+
 struct Cancel {
     conn: ConnId,
     job: JobId,
@@ -74,6 +85,7 @@
     cascade_at: Millis,
     /// Jobs that the cascade leaves alone until then.
     left_alone: HashMap<JobId, Millis>,
+    dividing: BTreeMap<u64, Dividing>,
     /// Polls of jobs that the mirror has, and since when the first of them waits for others to share
     /// a request with.
     polls: Vec<(ConnId, JobId)>,
@@ -219,7 +231,9 @@
             return;
         }
         let checked = self.checking.values_mut().map(|(a, _)| a);
-        if let Some(same) = self.queue.iter_mut().chain(checked).find(|a| a.job == job) {
+        let divided = self.dividing.values_mut().map(|d| &mut d.accept);
+        let mut waiting = self.queue.iter_mut().chain(checked).chain(divided);
+        if let Some(same) = waiting.find(|a| a.job == job) {
             same.conns.push(conn);
             return;
         }
@@ -241,6 +255,7 @@
             job,
             spec,
             needs,
+            pieces: 0,
             since: env.now(),
         };
         if unknown.is_empty() {
@@ -350,9 +365,20 @@
             if record.is_final() {
                 shares.clear();
             }
-            let waits = !record.needs.is_empty();
+            let waits = record.has_needs();
             let exists = |label: &str| env.types.contains_key(label);
             let Some(value) = env.terms.job(&record, exists) else {
+                if !record.needs.is_empty() {
+                    self.next += 1;
+                    let dividing = Dividing {
+                        pieces: env.terms.pieces(&accept.needs),
+                        accept,
+                        written: 0,
+                        underway: 0,
+                    };
+                    self.dividing.insert(self.next, dividing);
+                    continue;
+                }
                 for conn in accept.conns {
                     let why = ReadFor::Refuse("its record would be too large");
                     self.read(conn, &accept.job, why, env);
@@ -508,6 +534,62 @@
         }
     }
 
+    /// Writes what long submissions need, a transaction at a time, as long as no job of that name is
+    /// accepted; then the submission goes on as any other.
+    pub fn flush_pieces(&mut self, env: &mut Env) {
+        let now = env.now();
+        let mut done = Vec::new();
+        for (id, dividing) in &mut self.dividing {
+            if dividing.underway > 0 {
+                continue;
+            }
+            let rest = &dividing.pieces[dividing.written..];
+            if rest.is_empty() {
+                done.push(*id);
+                continue;
+            }
+            let room = env.store.room(now, Class::Accept).min(env.terms.txn_ops);
+            let job = &dividing.accept.job;
+            let mut txn = Txn::default().when(job_key(job), Default::default());
+            for (i, piece) in rest.iter().enumerate().take(room) {
+                let key = needs_key(job, (dividing.written + i) as u32);
+                txn = txn.then(Change::write(key, piece));
+            }
+            if room == 0 || !env.store.may(now, Class::Accept, txn.changes.len()) {
+                continue;
+            }
+            dividing.underway = txn.changes.len();
+            env.store.txn(env.out, Tag::Pieces(*id), &txn);
+        }
+        for id in done {
+            if let Some(mut dividing) = self.dividing.remove(&id) {
+                dividing.accept.pieces = dividing.pieces.len() as u32;
+                dividing.accept.since = now;
+                self.queue.push_back(dividing.accept);
+            }
+        }
+    }
+
+    /// The answer to a write of pieces.
+    pub fn pieces_done(&mut self, id: u64, result: TxnResult, env: &mut Env) {
+        if let (TxnResult::Done(_), Some(dividing)) = (&result, self.dividing.get_mut(&id)) {
+            dividing.written += std::mem::take(&mut dividing.underway);
+            return;
+        }
+        let Some(Dividing { accept, .. }) = self.dividing.remove(&id) else {
+            return;
+        };
+        for conn in accept.conns {
+            if let TxnResult::Conflict(_) = result {
+                self.read(conn, &accept.job, ReadFor::Resubmit, env);
+            } else {
+                // The retry writes the same pieces again.
+                let later = Response::later(503, "the state service did not answer", 1);
+                env.out.respond(conn, later);
+            }
+        }
+    }
+
     /// The answer to a comparison for polls.
     pub fn polls_done(&mut self, id: u64, result: TxnResult, env: &mut Env) {
         let batch = self.polled.remove(&id).unwrap_or_default();
@@ -789,12 +871,16 @@
         submitted: WallMs(env.out.wall_ms),
         spec: Some(accept.spec.clone()),
         needs: Vec::new(),
+        needs_pieces: accept.pieces,
         ended: None,
     };
     if accept.needs.iter().any(lost) {
         let parts = Vec::new();
         return JobRecord { parts, ..record }.cancelled();
     }
+    if accept.pieces > 0 {
+        return record;
+    }
     let needs = accept.needs.iter();
     JobRecord {
         needs: needs
--- a/src/coordination/graph.rs
+++ b/src/coordination/graph.rs
@@ -29,7 +29,7 @@
 impl Graph {
     /// Whether every job that this one needs is done. A job that the graph has not seen yet is not.
     pub fn is_ready(&self, id: &JobId, record: &JobRecord) -> bool {
-        record.needs.is_empty() || self.ready.contains_key(id)
+        !record.has_needs() || self.ready.contains_key(id)
     }
 
     /// From when on a job's waiting counts: its submission, or the end of the last job it needs.
@@ -47,9 +47,10 @@
     }
 
     /// Works the picture out from the records of jobs that have not ended. `length_ms` is how long a
-    /// job is expected to take.
-    pub fn build(
-        jobs: &BTreeMap<JobId, Versioned<JobRecord>>,
+    /// job is expected to take, `needs_of` what it needs, as far as that is known.
+    pub fn build<'a>(
+        jobs: &'a BTreeMap<JobId, Versioned<JobRecord>>,
+        needs_of: impl Fn(&JobId, &'a JobRecord) -> Option<Vec<&'a JobId>>,
         final_of: impl Fn(&JobId) -> Option<Final>,
         length_ms: impl Fn(&JobSpec) -> u64,
         now: WallMs,
@@ -60,16 +61,19 @@
             found.filter(|r| r.state == JobState::Open)
         };
         let mut graph = Graph::default();
+        let mut needs: HashMap<&JobId, Vec<&JobId>> = HashMap::new();
         let mut needed_by: HashMap<&JobId, Vec<&JobId>> = HashMap::new();
         let mut cancelled: Vec<&JobId> = Vec::new();
         for (id, v) in jobs {
             let record = &*v.value;
-            if record.state != JobState::Open || record.needs.is_empty() {
+            if record.state != JobState::Open || !record.has_needs() {
                 continue;
             }
-            let mut done = true;
+            let known = needs_of(id, record);
+            let mut done = known.is_some();
             let mut since = Some(record.submitted);
-            for need in &record.needs {
+            let needed = needs.entry(id).or_insert(known.unwrap_or_default());
+            for need in needed.iter().copied() {
                 needed_by.entry(need).or_default().push(id);
                 match final_of(need) {
                     Some(end) if end.state == JobState::Done => {
@@ -135,7 +139,7 @@
         queue.extend(
             above
                 .iter()
-                .filter(|(id, n)| **n == 0 && open(id).is_some_and(|r| r.needs.is_empty()))
+                .filter(|(id, n)| **n == 0 && open(id).is_some_and(|r| !r.has_needs()))
                 .map(|(id, _)| *id),
         );
         while let Some(id) = queue.pop_front() {
@@ -150,7 +154,7 @@
                 None => mine,
             };
             graph.urgency.insert(id.clone(), urgency);
-            for need in &record.needs {
+            for need in needs.get(id).into_iter().flatten().copied() {
                 let Some(spec) = open(need).and_then(|r| r.spec.as_ref()) else {
                     continue;
                 };
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -78,6 +78,7 @@
         submitted: WallMs(1_000),
         spec: Some(spec),
         needs: needs.iter().map(|n| name(*n)).collect(),
+        needs_pieces: 0,
         ended: None,
     }
 }
@@ -113,6 +114,7 @@
     let length = |_: &snowshelf::bookkeeping::records::JobSpec| 10_000;
     Graph::build(
         &open,
+        |_, r| Some(r.needs.iter().collect()),
         |id| finals.get(id).copied(),
         length,
         WallMs(50_000),
@@ -551,6 +553,71 @@
     }
 }
 
+/// Guards against records that pass the smallest values: a list of thousands of needed jobs is kept in
+/// pieces, and a job starts only when all pieces are known and all their jobs done. Grants and machine
+/// types of a deployment of ours fit as they are.
+#[test]
+fn every_record_fits_into_two_kib() {
+    let terms = terms(Format::Wide, 2048);
+    let needs: Vec<JobId> = (0..5_000)
+        .map(|n| JobId::new(&format!("wk-{n:06}")))
+        .collect();
+    let pieces = terms.pieces(&needs);
+    assert_eq!(pieces.concat(), needs);
+    assert!(pieces.len() < 40 && pieces.iter().all(|p| terms.takes(&serde_json::json!(p))));
+
+    let mut mirror = Mirror::default();
+    let mut job = record(JobState::Open, &[], None);
+    job.needs_pieces = pieces.len() as u32;
+    let value = terms.job(&job, |_| true).unwrap();
+    mirror.apply("job/wk-1", Some(&value), Version(1));
+    let done = serde_json::json!({"state":"Done","tasks":1,"submitted":5});
+    for (n, need) in needs.iter().enumerate() {
+        mirror.apply(&format!("job/{need}"), Some(&done), Version(2 + n as u64));
+    }
+    let ready = |mirror: &Mirror| {
+        let final_of = |id: &JobId| mirror.final_of(id);
+        let needs_of = |id: &JobId, r| mirror.needs_of(id, r);
+        let length = |_: &snowshelf::bookkeeping::records::JobSpec| 10_000;
+        let graph = Graph::build(
+            &mirror.jobs,
+            needs_of,
+            final_of,
+            length,
+            WallMs(9),
+            &Graph::default(),
+        );
+        graph.is_ready(&name(1), &mirror.jobs[&name(1)].value)
+    };
+    for (n, piece) in pieces.iter().enumerate() {
+        assert!(!ready(&mirror), "before piece {n}");
+        mirror.apply(
+            &format!("needs/wk-1/{n}"),
+            Some(&serde_json::json!(piece)),
+            Version(9_000),
+        );
+    }
+    assert!(ready(&mirror));
+
+    let mut quota = QuotaRecord::default();
+    for part in 0..16 {
+        let grant = Grant {
+            cpus: 1234.567890123456 + f64::from(part),
+            gpus: 0.0,
+        };
+        quota.grants.insert(PartId(part), grant);
+    }
+    assert!(terms.takes(&serde_json::to_value(&quota).unwrap()));
+    let types: Vec<serde_json::Value> = (0..8)
+        .map(|n| {
+            serde_json::json!({"Label": format!("type-{n}"),
+        "Cpus":96.0,"Gpus":8.0,"MemGb":768.0,"LocalGb":200.0,"FetchGbPerS":1.0,"Hourly":12.0,
+        "SpotPrice":4.5,"ReadyS":45.0,"Parcelas":["vale-norte","vale-sul","serra-alta"]})
+        })
+        .collect();
+    assert!(terms.takes(&serde_json::json!(types)));
+}
+
 #[test]
 fn machines_spread_over_parts() {
     let mut counts = [0u32; 3];
