--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -429,10 +429,6 @@
         self.started.get(machine)?.get(task)
     }
 
-    pub fn is_complete(&self) -> bool {
-        self.waiting.is_empty() && self.started.is_empty()
-    }
-
     pub fn started_count(&self) -> u32 {
         self.started.values().map(Spans::len).sum()
     }
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -201,19 +201,10 @@
     /// Sends a transaction; the caller has asked `may` before.
     pub fn txn(&mut self, out: &mut Outbox, tag: T, txn: &Txn) {
         self.writes.take(txn.changes.len() as f64);
-        let body = serde_json::to_vec(txn).unwrap_or_default();
-        self.send(
-            out,
-            tag,
-            Kind::Txn,
-            Method::Post,
-            "/txn".into(),
-            body,
-            CALL_MS,
-        );
+        self.compare(out, tag, txn, CALL_MS);
     }
 
-    /// Asks whether keys still have the versions known here.
+    /// Asks whether keys still have the versions known here: a transaction without changes.
     pub fn compare(&mut self, out: &mut Outbox, tag: T, txn: &Txn, timeout_ms: u64) {
         let body = serde_json::to_vec(txn).unwrap_or_default();
         let path = "/txn".to_string();
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -6,7 +6,7 @@
 use super::graph::Graph;
 use super::ownership::Ownership;
 use super::peers::Peers;
-use super::placement::estimate;
+use super::placement::{estimate, slowest_fetch};
 use super::reader::Reader;
 use super::shard::Shard;
 use super::upgrade::{Upgrade, terms};
@@ -46,6 +46,15 @@
 /// Share of the cloud's request rate for each owner; the leader uses the rest.
 const OWNER_CLOUD: f64 = 0.12;
 
+/// One controller's equal share of the requests and writes a second.
+fn own_rates(terms: &Terms, nodes: u32) -> (f64, f64) {
+    let nodes = f64::from(nodes);
+    (
+        BUDGET * terms.rps / nodes,
+        WRITES_BUDGET * terms.write_rps / nodes,
+    )
+}
+
 pub struct Controller {
     cfg: Config,
     out: Outbox,
@@ -73,12 +82,9 @@
 
 impl Controller {
     pub fn new(settings: Settings, ops: OperatorSettings, now: Millis) -> Controller {
-        let nodes = f64::from(settings.deployment.nodes);
         let terms = terms(Format::Narrow, false, &settings.deployment.state);
-        let store = Store::new(
-            BUDGET * terms.rps / nodes,
-            WRITES_BUDGET * terms.write_rps / nodes,
-        );
+        let (rps, write_rps) = own_rates(&terms, settings.deployment.nodes);
+        let store = Store::new(rps, write_rps);
         let cloud = CloudClient::new(OWNER_CLOUD * settings.deployment.cloud.rps);
         let seed = settings
             .member
@@ -203,9 +209,7 @@
                 } else if method != wanted {
                     self.wrong_method(conn);
                 } else {
-                    let mut gateway = std::mem::take(&mut self.gateway);
-                    gateway.read(conn, &JobId::new(id), why, &mut self.env());
-                    self.gateway = gateway;
+                    self.with_gateway(|gateway, env| gateway.read(conn, &JobId::new(id), why, env));
                 }
             }
         }
@@ -258,6 +262,13 @@
         self.out.respond(conn, response);
     }
 
+    fn with_gateway<T>(&mut self, f: impl FnOnce(&mut Gateway, &mut Env) -> T) -> T {
+        let mut gateway = std::mem::take(&mut self.gateway);
+        let result = f(&mut gateway, &mut self.env());
+        self.gateway = gateway;
+        result
+    }
+
     fn with_shard(&mut self, part: PartId, f: impl FnOnce(&mut Shard, &mut Env)) {
         let Some(mut shard) = self.shards.remove(&part) else {
             return;
@@ -424,26 +435,18 @@
                 self.changed(vec![Changed::Job(job)]);
             }
             (Tag::Accept(id), Reply::Txn(result)) => {
-                let mut gateway = std::mem::take(&mut self.gateway);
-                gateway.accepted(id, result, &mut self.env());
-                self.gateway = gateway;
+                self.with_gateway(|gateway, env| gateway.accepted(id, result, env));
                 self.refresh_new();
             }
             (Tag::Read(conn, job, why), Reply::Get(result)) => {
-                let mut gateway = std::mem::take(&mut self.gateway);
-                gateway.read_done(conn, &job, why, result, &mut self.env());
-                self.gateway = gateway;
+                self.with_gateway(|gateway, env| gateway.read_done(conn, &job, why, result, env));
                 self.changed(vec![Changed::Job(job)]);
             }
             (Tag::Pieces(id), Reply::Txn(result)) => {
-                let mut gateway = std::mem::take(&mut self.gateway);
-                gateway.pieces_done(id, result, &mut self.env());
-                self.gateway = gateway;
+                self.with_gateway(|gateway, env| gateway.pieces_done(id, result, env));
             }
             (Tag::Polls(id), Reply::Txn(result)) => {
-                let mut gateway = std::mem::take(&mut self.gateway);
-                gateway.polls_done(id, result, &mut self.env());
-                self.gateway = gateway;
+                self.with_gateway(|gateway, env| gateway.polls_done(id, result, env));
             }
             (Tag::Needed(asker, job), Reply::Get(result)) => {
                 if let GetResult::Found(item) = &result {
@@ -451,18 +454,14 @@
                         .apply(&item.key, Some(&item.value), item.version);
                 }
                 if let Some(id) = asker {
-                    let mut gateway = std::mem::take(&mut self.gateway);
-                    gateway.needed(id, &job, &result, &mut self.env());
-                    self.gateway = gateway;
+                    self.with_gateway(|gateway, env| gateway.needed(id, &job, &result, env));
                 } else if let GetResult::Missing(_) = result {
                     tracing::error!(job = %job, "a job that others need is not there");
                 }
                 self.changed(vec![Changed::Job(job)]);
             }
             (Tag::Cascade(id), Reply::Txn(result)) => {
-                let mut gateway = std::mem::take(&mut self.gateway);
-                let jobs = gateway.cascaded(id, result, &mut self.env());
-                self.gateway = gateway;
+                let jobs = self.with_gateway(|gateway, env| gateway.cascaded(id, result, env));
                 self.changed(jobs.into_iter().map(Changed::Job).collect());
             }
             (Tag::Declare(key), Reply::Txn(result)) => {
@@ -471,9 +470,7 @@
                 self.upgrade = upgrade;
             }
             (Tag::Cancel(id), Reply::Txn(result)) => {
-                let mut gateway = std::mem::take(&mut self.gateway);
-                let job = gateway.cancelled(id, result, &mut self.env());
-                self.gateway = gateway;
+                let job = self.with_gateway(|gateway, env| gateway.cancelled(id, result, env));
                 self.changed(job.into_iter().map(Changed::Job).collect());
             }
             (Tag::PublishTypes(types), Reply::Txn(result)) => {
@@ -621,11 +618,8 @@
         if now != self.terms {
             tracing::info!(format = ?now.format, value_bytes = now.value_bytes, txn_ops = now.txn_ops,
                 rps = now.rps, write_rps = now.write_rps, "writes keep to other terms");
-            let nodes = f64::from(self.cfg.parts);
-            self.store.set_rates(
-                BUDGET * now.rps / nodes,
-                WRITES_BUDGET * now.write_rps / nodes,
-            );
+            let (rps, write_rps) = own_rates(&now, self.cfg.parts);
+            self.store.set_rates(rps, write_rps);
             self.terms = now;
         }
     }
@@ -636,8 +630,7 @@
         if self.graph_of != self.mirror.job_changes && now.since(self.graph_at) >= GRAPH_MS {
             self.graph_of = self.mirror.job_changes;
             self.graph_at = now;
-            let rates = self.types.values().map(|t| t.fetch_gb_per_s);
-            let slowest = rates.filter(|r| *r > 0.0).fold(f64::INFINITY, f64::min);
+            let slowest = slowest_fetch(self.types.values());
             let default_s = self.cfg.ops.default_run_s;
             let length_ms =
                 |spec: &JobSpec| seconds_to_ms(estimate(spec, default_s) + spec.pull_gb / slowest);
--- a/src/coordination/env.rs
+++ b/src/coordination/env.rs
@@ -2,7 +2,7 @@
 
 use super::graph::Graph;
 use crate::bookkeeping::mirror::Mirror;
-use crate::bookkeeping::records::Terms;
+use crate::bookkeeping::records::{JobRecord, Terms};
 use crate::bookkeeping::store::{Bucket, Store};
 use crate::ids::{CallId, ConnId, JobId, MachineId, Member, Millis, PartId, Token};
 use crate::operator::OperatorSettings;
@@ -10,6 +10,7 @@
 use crate::protocol::cloud::{MachineType, release_body};
 use crate::protocol::state::Txn;
 use crate::settings::Settings;
+use serde_json::Value;
 use std::collections::{BTreeMap, HashMap};
 
 /// Whom an answer of the state service is for.
@@ -144,4 +145,9 @@
     pub fn now(&self) -> Millis {
         self.out.now
     }
+    /// A job's value as it may be written now; `None` if it is too large.
+    pub fn job_value(&self, record: &JobRecord) -> Option<Value> {
+        let exists = |label: &str| self.types.contains_key(label);
+        self.terms.job(record, exists)
+    }
 }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -425,8 +425,7 @@
             if !env.graph.is_ready(id, &record.value) {
                 continue;
             }
-            let since = env.graph.since(id, &record.value);
-            let waited_s = (since.0 - record.value.submitted.0) as f64 / 1000.0;
+            let waited_s = env.graph.waited_s(id, &record.value);
             let mut tasks = 0;
             for part in &record.value.parts {
                 if let Some(a) = env.mirror.allocs.get(&(*part, id.clone())) {
--- a/src/coordination/gateway.rs
+++ b/src/coordination/gateway.rs
@@ -3,6 +3,7 @@
 
 use super::env::{Env, ReadFor, Tag};
 use super::peers::PartRoom;
+use super::placement::slowest_fetch;
 use crate::bookkeeping::mirror::Final;
 use crate::bookkeeping::records::{
     Alloc, Format, Grant, JobRecord, JobSpec, JobState, Kind, alloc_key, job_key, needs_key,
@@ -187,13 +188,6 @@
     shares
 }
 
-/// How long a machine of the slowest kind fetches an image.
-fn fetch_s(spec: &JobSpec, env: &Env) -> f64 {
-    let rates = env.types.values().map(|t| t.fetch_gb_per_s);
-    let slowest = rates.filter(|r| *r > 0.0).fold(f64::INFINITY, f64::min);
-    spec.pull_gb / slowest
-}
-
 impl Gateway {
     pub fn submit(&mut self, conn: ConnId, body: &[u8], env: &mut Env) {
         let Submission { job, spec, needs } = match user::parse_submission(body) {
@@ -347,7 +341,7 @@
         let mut bytes = 0;
         while let Some(accept) = self.queue.front() {
             let mut shares = {
-                let fetch_s = fetch_s(&accept.spec, env);
+                let fetch_s = accept.spec.pull_gb / slowest_fetch(env.types.values());
                 split(&accept.job, &accept.spec, fetch_s, env.cfg.parts, &rooms)
             };
             if shares.len() + 1 > env.terms.txn_ops {
@@ -366,8 +360,7 @@
                 shares.clear();
             }
             let waits = record.has_needs();
-            let exists = |label: &str| env.types.contains_key(label);
-            let Some(value) = env.terms.job(&record, exists) else {
+            let Some(value) = env.job_value(&record) else {
                 if !record.needs.is_empty() {
                     self.next += 1;
                     let dividing = Dividing {
@@ -387,12 +380,8 @@
             };
             let mut put = |key: String, value: serde_json::Value| {
                 bytes += value.to_string().len() + key.len() + 40;
-                written.push((key.clone(), value.clone()));
-                txn.changes.push(Change::Write {
-                    key,
-                    value,
-                    lease: None,
-                });
+                txn.changes.push(Change::write(key.clone(), &value));
+                written.push((key, value));
             };
             put(job_key(&accept.job), value);
             for (part, waiting) in shares {
@@ -711,8 +700,7 @@
                 self.tell_open(conn, job, &record, why, env);
             }
             _ => {
-                let exists = |label: &str| env.types.contains_key(label);
-                let next = env.terms.job(&record.cancelled(), exists);
+                let next = env.job_value(&record.cancelled());
                 let may = env.store.may(env.now(), Class::Accept, 1);
                 let Some(next) = next.filter(|_| may) else {
                     let later = Response::later(503, "too many requests", 1);
@@ -789,15 +777,10 @@
             if v.value.is_final() || !ours || self.left_alone.contains_key(job) {
                 continue;
             }
-            let exists = |label: &str| env.types.contains_key(label);
-            let Some(value) = env.terms.job(&v.value.cancelled(), exists) else {
+            let Some(value) = env.job_value(&v.value.cancelled()) else {
                 continue;
             };
-            let change = Change::Write {
-                key: job_key(job),
-                value: value.clone(),
-                lease: None,
-            };
+            let change = Change::write(job_key(job), &value);
             txn = txn.when(job_key(job), v.version).then(change);
             batch.push((job.clone(), value));
         }
--- a/src/coordination/graph.rs
+++ b/src/coordination/graph.rs
@@ -38,6 +38,11 @@
         ready.map_or(record.submitted, |at| at.max(record.submitted))
     }
 
+    /// How long a job waited for others after its submission.
+    pub fn waited_s(&self, id: &JobId, record: &JobRecord) -> f64 {
+        (self.since(id, record).0 - record.submitted.0) as f64 / 1000.0
+    }
+
     /// How urgent a job is, by itself and by what needs it.
     pub fn urgency(&self, id: &JobId, spec: &JobSpec) -> Urgency {
         self.urgency.get(id).copied().unwrap_or(Urgency {
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -5,6 +5,7 @@
 //! `w_k = (estimate-weighted mean request of queued jobs * booked / capacity) / capacity`.
 
 use crate::bookkeeping::records::{JobSpec, Room};
+use crate::protocol::cloud::MachineType;
 use crate::settings::Objective;
 
 /// What the weights are worked out from.
@@ -23,6 +24,12 @@
     }
 }
 
+/// How fast the slowest of these machine types fetches an image, in GB a second.
+pub fn slowest_fetch<'a>(types: impl Iterator<Item = &'a MachineType>) -> f64 {
+    let rates = types.map(|t| t.fetch_gb_per_s).filter(|r| *r > 0.0);
+    rates.fold(f64::INFINITY, f64::min)
+}
+
 /// How many aims a job that starts at this age cannot meet any more, having waited for others before.
 pub fn missed(spec: &JobSpec, objectives: &[Objective], age_s: f64, waited_s: f64) -> usize {
     let aims = objectives
--- a/src/coordination/shard/claims.rs
+++ b/src/coordination/shard/claims.rs
@@ -90,8 +90,7 @@
         if !record.value.parts.contains(&self.part) {
             let mut job = (*record.value).clone();
             job.parts.push(self.part);
-            let exists = |label: &str| env.types.contains_key(label);
-            writes.push((job_key(&id), env.terms.job(&job, exists)));
+            writes.push((job_key(&id), env.job_value(&job)));
         }
         let fits = writes.len() <= env.terms.txn_ops
             && env.terms.startable(&next, next.started_count(), 0) > 0;
@@ -101,11 +100,7 @@
                 self.claim_at = now.plus(1_000);
                 return;
             };
-            txn = txn.then(Change::Write {
-                key,
-                value,
-                lease: None,
-            });
+            txn = txn.then(Change::write(key, &value));
         }
         if !env.store.may(now, Class::Starts, txn.changes.len()) {
             self.claim_at = now.plus(250);
--- a/src/coordination/shard/placing.rs
+++ b/src/coordination/shard/placing.rs
@@ -119,9 +119,8 @@
                 // deadline from the submission.
                 let since = env.graph.since(id, &j.spec);
                 let urgency = env.graph.urgency(id, spec);
-                let age = |from: WallMs| env.out.wall_ms.saturating_sub(from.0) as f64 / 1000.0;
-                let (age_s, waited_s) =
-                    (age(since), (since.0 - j.spec.submitted.0) as f64 / 1000.0);
+                let age_s = env.out.wall_ms.saturating_sub(since.0) as f64 / 1000.0;
+                let waited_s = env.graph.waited_s(id, &j.spec);
                 let missed = placement::missed(spec, objectives, age_s, waited_s);
                 let patience_s = placement::patience_s(spec, objectives, waited_s);
                 let due = WallMs(since.0 + seconds_to_ms(patience_s));
--- a/src/coordination/shard/writing.rs
+++ b/src/coordination/shard/writing.rs
@@ -96,32 +96,19 @@
             let starts = job.steps.iter().any(|s| s.step.what == StepKind::Start);
             // What is too large now is written once enough of its tasks have ended: until then their
             // machines repeat the ends, and nothing more of it is started.
-            let share = match over {
-                true => None,
-                false => match env.terms.share(&job.view) {
-                    Some(value) => Some(value),
-                    None => continue,
-                },
-            };
-            let record = match over {
-                true => {
-                    let wall = WallMs(env.out.wall_ms);
-                    let next = job.spec.without_part(self.part, wall, env.terms);
-                    let exists = |label: &str| env.types.contains_key(label);
-                    match env.terms.job(&next, exists) {
-                        Some(value) => Some(value),
-                        None => continue,
-                    }
-                }
-                false => None,
+            let (share, record) = if over {
+                let wall = WallMs(env.out.wall_ms);
+                let next = job.spec.without_part(self.part, wall, env.terms);
+                (None, env.job_value(&next))
+            } else {
+                (env.terms.share(&job.view), None)
             };
+            if share.is_none() && record.is_none() {
+                continue;
+            }
             let change = match &share {
                 None => Change::Delete { key: key.clone() },
-                Some(value) => Change::Write {
-                    key: key.clone(),
-                    value: value.clone(),
-                    lease: None,
-                },
+                Some(value) => Change::write(key.clone(), value),
             };
             let size = 400 + serde_json::to_vec(&change).map_or(0, |v| v.len());
             if bytes + size > TXN_BYTES && !jobs.is_empty() {
@@ -130,11 +117,9 @@
             bytes += size;
             txn = txn.when(key, job.version).then(change);
             if let Some(value) = &record {
-                txn = txn.when(job_key(&id), job.job_version).then(Change::Write {
-                    key: job_key(&id),
-                    value: value.clone(),
-                    lease: None,
-                });
+                txn = txn
+                    .when(job_key(&id), job.job_version)
+                    .then(Change::write(job_key(&id), value));
             } else if starts {
                 // A cancellation changes the job's key, so it wins over a start underway.
                 txn = txn.when(job_key(&id), job.job_version);
