A reading holds what is open, and the feed is followed while it goes on

Need: a controller's reading kept a set of all keys that ever were (116 MB for a million ended jobs, more than its memory after a week or two of the fleet's traffic), and one that took longer than the last 10,000 changes ended in 410 and began again for ever. Ruled out: a larger set held shorter, since history has no bound; reading twice, since the second is as long. Change: pages come in key order, so what is known and not found is dropped page by page; the feed is followed from the first page's revision on, and the picture counts as read up to where it has come.

--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -71,6 +71,8 @@
     pub revision: Version,
     /// Whether a full reading has been completed.
     pub loaded: bool,
+    /// Whether one is underway.
+    reading: bool,
 }
 
 fn read<T: for<'a> Deserialize<'a>>(key: &str, value: &Value) -> Option<T> {
@@ -135,8 +137,10 @@
         }
         self.versions.insert(key.to_string(), version);
         let changed = self.put(key, value, version);
-        // Final records are many; their keys need no guard, as they never change again.
+        // Final records are many; their keys need no guard, as they never change again. While a
+        // reading goes on, a page sent before the end may still bring the job as it was.
         if let Some(Changed::Job(job)) = &changed
+            && !self.reading
             && !self.jobs.contains_key(job)
         {
             self.versions.remove(key);
@@ -166,6 +170,8 @@
             let job = JobId::new(rest);
             self.job_changes += 1;
             match value.and_then(|v| read::<JobRecord>(key, v)) {
+                // A reading may bring the end of a job before the feed brings its beginning.
+                Some(record) if !record.is_final() && self.finals.contains_key(&job) => {}
                 Some(record) => {
                     self.remember_final(&job, &record);
                     if record.is_final() && record.parts.is_empty() {
@@ -234,40 +240,56 @@
         None
     }
 
-    /// Ends a full reading made as of `revision` in which `present` were found: what is known
-    /// from before and was not found is gone.
-    pub fn finish_reload(
-        &mut self,
-        revision: Version,
-        present: &std::collections::HashSet<String>,
-    ) -> Vec<Changed> {
-        let mut known: Vec<(String, Version)> = Vec::new();
-        known.extend(self.jobs.iter().map(|(j, v)| (job_key(j), v.version)));
-        known.extend(
-            self.allocs
-                .iter()
-                .map(|((p, j), v)| (alloc_key(*p, j), v.version)),
-        );
-        known.extend(self.parts.iter().map(|(p, v)| (part_key(*p), v.version)));
-        known.extend(self.quotas.iter().map(|(t, v)| (quota_key(t), v.version)));
-        known.extend(
-            self.leader
-                .iter()
-                .map(|v| (LEADER_KEY.to_string(), v.version)),
-        );
-        let mut changed = Vec::new();
-        for (key, version) in known {
-            if !present.contains(&key) && version <= revision {
-                changed.extend(self.apply(&key, None, Version(version.0.max(revision.0))));
-                self.versions.remove(&key);
-                changed.extend(self.put(&key, None, revision));
+    /// Begins a full reading.
+    pub fn begin_reading(&mut self) {
+        self.reading = true;
+    }
+
+    /// The keys, in order, of what is known and may have been deleted since it was seen: as many as
+    /// are open, however many have ended.
+    pub fn open_keys(&self) -> Vec<String> {
+        let mut known: Vec<String> = Vec::new();
+        known.extend(self.jobs.keys().map(job_key));
+        known.extend(self.allocs.keys().map(|(p, j)| alloc_key(*p, j)));
+        known.extend(self.parts.keys().map(|p| part_key(*p)));
+        known.extend(self.quotas.keys().map(quota_key));
+        known.extend(self.leader.iter().map(|_| LEADER_KEY.to_string()));
+        known.sort_unstable();
+        known
+    }
+
+    /// Takes in a key found by a full reading. A job that has ended needs no guard beyond that, or
+    /// the guards of all that ever were would be held at once.
+    pub fn apply_read(&mut self, key: &str, value: &Value, version: Version) -> Option<Changed> {
+        let changed = self.apply(key, Some(value), version);
+        if let Some(Changed::Job(job)) = &changed
+            && !self.jobs.contains_key(job)
+        {
+            self.versions.remove(key);
+        }
+        changed
+    }
+
+    /// Takes in that a full reading as of `revision` passed a key's place and did not find it.
+    pub fn absent(&mut self, key: &str, revision: Version) -> Option<Changed> {
+        match self.versions.get(key) {
+            // Made anew since.
+            Some(seen) if *seen > revision => None,
+            _ => {
+                self.versions.insert(key.to_string(), revision);
+                self.put(key, None, revision)
             }
         }
+    }
+
+    /// Ends a full reading; everything up to `revision` has been seen by it or by the change feed,
+    /// which was followed meanwhile.
+    pub fn end_reading(&mut self, revision: Version) {
+        self.reading = false;
         self.loaded = true;
         if self.revision < revision {
             self.revision = revision;
         }
-        changed
     }
 
     /// Forgets guards of deleted keys that the feed has passed.
