A workspace: names, records and wire formats are a package of their own

Need: new things come as packages under crates/, and share plain data. Change: snowshelf-model holds ids, spans, records by matter and the formats on the wire; the root package stays snowshelf. The short form of shares no longer knows the share, so that records and their short form are no circle.

--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,7 @@
+//! What snowshelf's packages share: names, versions and times; the records in the state service; the
+//! formats on the wire. Plain data and pure functions.
+
+pub mod ids;
+pub mod protocol;
+pub mod records;
+pub mod spans;
--- a/src/protocol/cloud.rs
+++ b/crates/model/src/protocol/cloud.rs
@@ -1,7 +1,7 @@
 //! The cloud: machine types, renting, returning, listing.
 
-use crate::bookkeeping::records::Room;
 use crate::ids::MachineId;
+use crate::records::Room;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
--- a/src/protocol/user.rs
+++ b/crates/model/src/protocol/user.rs
@@ -1,7 +1,7 @@
 //! Users: submit, read and cancel jobs.
 
-use crate::bookkeeping::records::{JobSpec, JobState, Kind, Priority, Room};
 use crate::ids::{JobId, Team};
+use crate::records::{JobSpec, JobState, Kind, Priority, Room};
 use serde_json::{Map, Value, json};
 
 /// Most tasks that one job may have.
--- /dev/null
+++ b/crates/model/src/records/mod.rs
@@ -0,0 +1,22 @@
+//! What the state service keeps, by matter.
+
+mod format;
+mod job;
+mod keys;
+mod owner;
+pub mod packed;
+mod quota;
+mod room;
+mod share;
+mod terms;
+
+pub use format::{Format, FormatRecord, WIDE};
+pub use job::{JobRecord, JobSpec, JobState, Kind, Priority};
+pub use keys::{
+    FORMAT_KEY, LEADER_KEY, alloc_key, job_key, member_key, needs_key, part_key, quota_key,
+};
+pub use owner::PartRecord;
+pub use quota::{Grant, QuotaRecord};
+pub use room::Room;
+pub use share::{Alloc, Step, StepKind};
+pub use terms::Terms;
--- /dev/null
+++ b/crates/model/src/records/owner.rs
@@ -0,0 +1,11 @@
+//! Who owns a part, or leads.
+
+use crate::ids::{LeaseId, Member};
+use serde::{Deserialize, Serialize};
+
+/// `part/<p>`.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct PartRecord {
+    pub owner: Member,
+    pub lease: LeaseId,
+}
--- a/src/bookkeeping/packed.rs
+++ b/crates/model/src/records/packed.rs
@@ -6,9 +6,8 @@
 //! (at first 1) among those that wait. Numbers have base 36. Of the finished tasks only the first is
 //! kept, as a sign that the job works.
 
-use super::records::Alloc;
-use super::spans::{Span, Spans};
 use crate::ids::MachineId;
+use crate::spans::{Span, Spans};
 use std::collections::BTreeMap;
 
 const BASE: u32 = 36;
@@ -101,11 +100,15 @@
 }
 
 /// The short form; `None` if a machine's name does not allow it.
-pub fn pack(alloc: &Alloc) -> Option<String> {
+pub fn pack(
+    waiting: &Spans,
+    started: &BTreeMap<MachineId, Spans>,
+    finished: &Spans,
+) -> Option<String> {
     let mut out = String::new();
-    put_spans(&mut out, alloc.waiting.spans(), Usual::Before);
+    put_spans(&mut out, waiting.spans(), Usual::Before);
     out.push(';');
-    for (i, (machine, spans)) in alloc.started.iter().enumerate() {
+    for (i, (machine, spans)) in started.iter().enumerate() {
         if !plain(machine.as_str()) {
             return None;
         }
@@ -117,14 +120,14 @@
         put_spans(&mut out, spans.spans(), Usual::One);
     }
     out.push(';');
-    if let Some((task, _)) = alloc.finished.first() {
+    if let Some((task, _)) = finished.first() {
         put_number(&mut out, task.0);
     }
     Some(out)
 }
 
-/// Reads the short form; `None` if it is not one.
-pub fn unpack(text: &str) -> Option<Alloc> {
+/// Reads the short form, waiting, started and finished tasks; `None` if it is not one.
+pub fn unpack(text: &str) -> Option<(Spans, BTreeMap<MachineId, Spans>, Spans)> {
     let mut fields = text.split(';');
     let (waiting, machines, finished) = (fields.next()?, fields.next()?, fields.next()?);
     if fields.next().is_some() {
@@ -146,20 +149,16 @@
             Spans::range(first, first.checked_add(1)?, 0)
         }
     };
-    Some(Alloc {
-        waiting: read_spans(waiting, Usual::Before)?,
-        started,
-        finished,
-    })
+    Some((read_spans(waiting, Usual::Before)?, started, finished))
 }
 
 /// The most bytes that the share's value may come to take, whatever ends and requeues follow, as
 /// long as nothing more is started: every started task counts as a range of its own, which it takes
 /// where it is or, with all waiting ones raised to one attempt, among those that wait.
-pub fn most_bytes(alloc: &Alloc) -> usize {
+pub fn most_bytes(waiting: &Spans, started: &BTreeMap<MachineId, Spans>) -> usize {
     // Quotes, separators, one attempt for all that wait, and the finished task.
     let mut bytes = 2 + 2 + 8 + 7;
-    let mut waiting = alloc.waiting.clone();
+    let mut waiting = waiting.clone();
     waiting.raise();
     let mut end = 0;
     for span in waiting.spans() {
@@ -169,7 +168,7 @@
         }
         end = span.1;
     }
-    for (machine, spans) in &alloc.started {
+    for (machine, spans) in started {
         bytes += machine.as_str().len() + 2;
         for span in spans.spans() {
             bytes += (span.1 - span.0) as usize * task_bytes(span.1, span.2);
--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -2,14 +2,14 @@
 //!
 //! The picture may lag. Whoever decides by it makes the write conditional on the version seen.
 
-use super::records::{
+use serde::Deserialize;
+use serde_json::Value;
+use snowshelf_model::ids::{JobId, Member, PartId, Team, Version, WallMs};
+use snowshelf_model::protocol::cloud::MachineType;
+use snowshelf_model::records::{
     Alloc, FORMAT_KEY, Format, FormatRecord, JobRecord, JobState, LEADER_KEY, PartRecord,
     QuotaRecord, WIDE, alloc_key, job_key, part_key, quota_key,
 };
-use crate::ids::{JobId, Member, PartId, Team, Version, WallMs};
-use crate::protocol::cloud::MachineType;
-use serde::Deserialize;
-use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -1,7 +1,4 @@
-//! What is known and kept: the records, a mirror of them, and the client of the state service.
+//! What is known and kept: a mirror of the records, and the client of the state service.
 
 pub mod mirror;
-pub mod packed;
-pub mod records;
-pub mod spans;
 pub mod store;
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -1,8 +1,10 @@
 //! The client of the state service: budgets, and answers turned into what they prove.
 
-use crate::ids::{CallId, LeaseId, Millis, Version};
 use crate::outbox::{CallResult, Method, Outbox, Target};
-use crate::protocol::state::{Changes, Item, LeaseAnswer, Missing, Page, Txn, TxnFailed, TxnOk};
+use snowshelf_model::ids::{CallId, LeaseId, Millis, Version};
+use snowshelf_model::protocol::state::{
+    Changes, Item, LeaseAnswer, Missing, Page, Txn, TxnFailed, TxnOk,
+};
 use std::collections::HashMap;
 
 /// What a request is for. Lower ranks keep clear of the room that higher ones may need.
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -11,19 +11,19 @@
 use super::shard::Shard;
 use super::upgrade::{Upgrade, terms};
 use crate::bookkeeping::mirror::{Changed, Mirror, TYPES_KEY};
-use crate::bookkeeping::records::{Format, JobSpec, Terms, job_key};
 use crate::bookkeeping::store::{Class, GetResult, Reply, Store, TxnResult};
-use crate::ids::{
-    CallId, ConnId, JobId, Member, Millis, PartId, Team, Version, WallMs, part_of, seconds_to_ms,
-};
 use crate::operator::OperatorSettings;
 use crate::outbox::{CallResult, Input, Outbox, Output, Request, Response};
-use crate::protocol::cloud::MachineType;
-use crate::protocol::peer::{Hint, PartHint};
-use crate::protocol::state::{Change, Txn};
-use crate::protocol::user;
-use crate::protocol::worker::{Report, redirect};
 use crate::settings::Settings;
+use snowshelf_model::ids::{
+    CallId, ConnId, JobId, Member, Millis, PartId, Team, Version, WallMs, part_of, seconds_to_ms,
+};
+use snowshelf_model::protocol::cloud::MachineType;
+use snowshelf_model::protocol::peer::{Hint, PartHint};
+use snowshelf_model::protocol::state::{Change, Txn};
+use snowshelf_model::protocol::user;
+use snowshelf_model::protocol::worker::{Report, redirect};
+use snowshelf_model::records::{Format, JobSpec, Terms, job_key};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How often the regular work is done.
@@ -333,7 +333,7 @@
         let version = known.map(|k| k.version).unwrap_or_default();
         let txn = Txn::default()
             .when(
-                crate::bookkeeping::records::LEADER_KEY.to_string(),
+                snowshelf_model::records::LEADER_KEY.to_string(),
                 Version(token.0),
             )
             .when(TYPES_KEY.to_string(), version)
--- a/src/coordination/env.rs
+++ b/src/coordination/env.rs
@@ -2,15 +2,15 @@
 
 use super::graph::Graph;
 use crate::bookkeeping::mirror::Mirror;
-use crate::bookkeeping::records::{JobRecord, Terms};
 use crate::bookkeeping::store::{Bucket, Store};
-use crate::ids::{CallId, ConnId, JobId, MachineId, Member, Millis, PartId, Token};
 use crate::operator::OperatorSettings;
 use crate::outbox::{CallResult, Method, Outbox, Target};
-use crate::protocol::cloud::{MachineType, release_body};
-use crate::protocol::state::Txn;
 use crate::settings::Settings;
 use serde_json::Value;
+use snowshelf_model::ids::{CallId, ConnId, JobId, MachineId, Member, Millis, PartId, Token};
+use snowshelf_model::protocol::cloud::{MachineType, release_body};
+use snowshelf_model::protocol::state::Txn;
+use snowshelf_model::records::{JobRecord, Terms};
 use std::collections::{BTreeMap, HashMap};
 
 /// Whom an answer of the state service is for.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -2,12 +2,12 @@
 
 use super::env::{CloudClient, CloudTag, Env};
 use super::placement::patience_s;
-use crate::bookkeeping::records::{JobState, Room};
-use crate::ids::{MachineId, Millis, Token, seconds_to_ms};
 use crate::outbox::{CallResult, Method, Outbox};
-use crate::protocol::cloud::{
+use snowshelf_model::ids::{MachineId, Millis, Token, seconds_to_ms};
+use snowshelf_model::protocol::cloud::{
     ListAnswer, Listed, ListedState, MachineType, RentAnswer, TypesAnswer, rent_body,
 };
+use snowshelf_model::records::{JobState, Room};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A kind of machine in a place: what one rental request asks for.
@@ -281,7 +281,7 @@
     /// Takes an answer of the cloud in; types that the others should know, if they changed.
     pub fn cloud_done(
         &mut self,
-        id: crate::ids::CallId,
+        id: snowshelf_model::ids::CallId,
         result: &CallResult,
         env: &mut Env,
     ) -> Option<Option<Vec<MachineType>>> {
--- a/src/coordination/gateway.rs
+++ b/src/coordination/gateway.rs
@@ -5,16 +5,16 @@
 use super::peers::PartRoom;
 use super::placement::slowest_fetch;
 use crate::bookkeeping::mirror::Final;
-use crate::bookkeeping::records::{
-    Alloc, Format, Grant, JobRecord, JobSpec, JobState, Kind, alloc_key, job_key, needs_key,
-};
-use crate::bookkeeping::spans::Spans;
 use crate::bookkeeping::store::{Class, GetResult, TxnResult};
-use crate::ids::{ConnId, JobId, Millis, PartId, WallMs, part_of};
 use crate::outbox::Response;
-use crate::protocol::state::{Change, Txn};
-use crate::protocol::user::{self, Submission};
 use serde::Deserialize;
+use snowshelf_model::ids::{ConnId, JobId, Millis, PartId, WallMs, part_of};
+use snowshelf_model::protocol::state::{Change, Txn};
+use snowshelf_model::protocol::user::{self, Submission};
+use snowshelf_model::records::{
+    Alloc, Format, Grant, JobRecord, JobSpec, JobState, Kind, alloc_key, job_key, needs_key,
+};
+use snowshelf_model::spans::Spans;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// How long submissions gather to share a transaction.
--- a/src/coordination/graph.rs
+++ b/src/coordination/graph.rs
@@ -3,8 +3,8 @@
 //! when a job that may start was first seen to.
 
 use crate::bookkeeping::mirror::{Final, Versioned};
-use crate::bookkeeping::records::{JobRecord, JobSpec, JobState, Priority};
-use crate::ids::{JobId, WallMs, seconds_to_ms};
+use snowshelf_model::ids::{JobId, WallMs, seconds_to_ms};
+use snowshelf_model::records::{JobRecord, JobSpec, JobState, Priority};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 /// What a job is to be treated as, for itself and for the jobs that need it.
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -1,10 +1,10 @@
 //! Who owns which part, and who leads: keys of the state service attached to this process's lease.
 
 use super::env::{Claim, Config, Env, Tag};
-use crate::bookkeeping::records::{LEADER_KEY, PartRecord, part_key};
 use crate::bookkeeping::store::{Class, TxnResult};
-use crate::ids::{LeaseId, Millis, PartId, Token, Version};
-use crate::protocol::state::{Change, Txn};
+use snowshelf_model::ids::{LeaseId, Millis, PartId, Token, Version};
+use snowshelf_model::protocol::state::{Change, Txn};
+use snowshelf_model::records::{LEADER_KEY, PartRecord, part_key};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A part without owner is left to its home member for so long.
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -1,8 +1,8 @@
 //! What the other controllers say. Hints only: no rule depends on them.
 
 use super::env::Config;
-use crate::ids::{MachineId, Member, Millis, PartId, Team};
-use crate::protocol::peer::Hint;
+use snowshelf_model::ids::{MachineId, Member, Millis, PartId, Team};
+use snowshelf_model::protocol::peer::Hint;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A hint older than this says nothing.
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -4,9 +4,9 @@
 //! fitting as many of the job's tasks as go, and
 //! `w_k = (estimate-weighted mean request of queued jobs * booked / capacity) / capacity`.
 
-use crate::bookkeeping::records::{JobSpec, Room};
-use crate::protocol::cloud::MachineType;
 use crate::settings::Objective;
+use snowshelf_model::protocol::cloud::MachineType;
+use snowshelf_model::records::{JobSpec, Room};
 
 /// What the weights are worked out from.
 #[derive(Clone, Copy, Debug, Default)]
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -8,8 +8,8 @@
 use super::env::{Env, Tag};
 use crate::bookkeeping::mirror::Changed;
 use crate::bookkeeping::store::Class;
-use crate::ids::{Millis, Version};
-use crate::protocol::state::{Changes, Page};
+use snowshelf_model::ids::{Millis, Version};
+use snowshelf_model::protocol::state::{Changes, Page};
 use std::collections::VecDeque;
 
 /// The least time between two openings of the feed, so that a burst of changes shares one answer.
--- a/src/coordination/shard/claims.rs
+++ b/src/coordination/shard/claims.rs
@@ -1,11 +1,11 @@
 //! An idle part takes over tasks that wait in another one.
 
 use super::Shard;
-use crate::bookkeeping::records::{JobState, alloc_key, job_key, part_key};
 use crate::bookkeeping::store::{Class, TxnResult};
 use crate::coordination::env::{Env, Tag};
-use crate::ids::{JobId, PartId, Version, WallMs};
-use crate::protocol::state::{Change, Txn};
+use snowshelf_model::ids::{JobId, PartId, Version, WallMs};
+use snowshelf_model::protocol::state::{Change, Txn};
+use snowshelf_model::records::{JobState, alloc_key, job_key, part_key};
 
 /// A job younger than this is left to the part that holds it.
 const CLAIM_AGE_MS: u64 = 1_500;
--- a/src/coordination/shard/job.rs
+++ b/src/coordination/shard/job.rs
@@ -1,7 +1,7 @@
 //! A part's share of one job: what is durable, and the steps that are not yet.
 
-use crate::bookkeeping::records::{Alloc, JobRecord, JobSpec, JobState, Step, StepKind};
-use crate::ids::{MachineId, Millis, Version};
+use snowshelf_model::ids::{MachineId, Millis, Version};
+use snowshelf_model::records::{Alloc, JobRecord, JobSpec, JobState, Step, StepKind};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
--- a/src/coordination/shard/machine.rs
+++ b/src/coordination/shard/machine.rs
@@ -1,10 +1,10 @@
 //! A machine as its part's owner pictures it.
 
-use crate::bookkeeping::records::{JobSpec, Room};
 use crate::coordination::images::Images;
 use crate::coordination::placement::Image;
-use crate::ids::{Attempt, ConnId, JobId, Millis, Seq, Session};
-use crate::protocol::worker::{TaskRef, TaskState, Why};
+use snowshelf_model::ids::{Attempt, ConnId, JobId, Millis, Seq, Session};
+use snowshelf_model::protocol::worker::{TaskRef, TaskState, Why};
+use snowshelf_model::records::{JobSpec, Room};
 
 #[derive(Clone)]
 pub(super) struct OnMachine {
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -14,11 +14,11 @@
 
 use super::env::Env;
 use super::peers::PartRoom;
-use crate::bookkeeping::records::{Alloc, Grant, QuotaRecord, Step, StepKind};
-use crate::ids::{Attempt, JobId, MachineId, Millis, PartId, TaskNo, Team, Token};
-use crate::protocol::worker::TaskState;
 use job::{NumberedStep, ShardJob};
 use machine::Machine;
+use snowshelf_model::ids::{Attempt, JobId, MachineId, Millis, PartId, TaskNo, Team, Token};
+use snowshelf_model::protocol::worker::TaskState;
+use snowshelf_model::records::{Alloc, Grant, QuotaRecord, Step, StepKind};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use writing::Flight;
 
--- a/src/coordination/shard/placing.rs
+++ b/src/coordination/shard/placing.rs
@@ -2,11 +2,11 @@
 
 use super::Shard;
 use super::machine::Machine;
-use crate::bookkeeping::records::{Grant, JobSpec, JobState, Priority, Room, Step, StepKind};
 use crate::coordination::env::Env;
 use crate::coordination::placement::{self, Image, Load, Seat, ZoneRule};
-use crate::ids::{JobId, MachineId, Millis, Team, WallMs, seconds_to_ms};
-use crate::protocol::worker::TaskState;
+use snowshelf_model::ids::{JobId, MachineId, Millis, Team, WallMs, seconds_to_ms};
+use snowshelf_model::protocol::worker::TaskState;
+use snowshelf_model::records::{Grant, JobSpec, JobState, Priority, Room, Step, StepKind};
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 
--- a/src/coordination/shard/quota.rs
+++ b/src/coordination/shard/quota.rs
@@ -2,11 +2,11 @@
 
 use super::Shard;
 use super::writing::REFUSED_MS;
-use crate::bookkeeping::records::{Grant, JobState, QuotaRecord, part_key, quota_key};
 use crate::bookkeeping::store::{Class, TxnResult};
 use crate::coordination::env::{Env, Tag};
-use crate::ids::{Millis, PartId, Team, Version};
-use crate::protocol::state::{Change, Txn};
+use snowshelf_model::ids::{Millis, PartId, Team, Version};
+use snowshelf_model::protocol::state::{Change, Txn};
+use snowshelf_model::records::{Grant, JobState, QuotaRecord, part_key, quota_key};
 use std::collections::{BTreeSet, HashMap};
 
 /// The least time between two moves of a team's grant by one part.
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -2,11 +2,11 @@
 
 use super::machine::{Held, Machine, OnMachine};
 use super::{Shard, requeue};
-use crate::bookkeeping::records::{Kind, Step, StepKind};
 use crate::coordination::env::Env;
-use crate::ids::{Attempt, ConnId, JobId, MachineId, Millis, TaskNo, seconds_to_ms};
 use crate::outbox::Response;
-use crate::protocol::worker::{Answer, Command, Report, TaskRef, TaskState, Why};
+use snowshelf_model::ids::{Attempt, ConnId, JobId, MachineId, Millis, TaskNo, seconds_to_ms};
+use snowshelf_model::protocol::worker::{Answer, Command, Report, TaskRef, TaskState, Why};
+use snowshelf_model::records::{Kind, Step, StepKind};
 use std::collections::BTreeSet;
 
 /// Most commands in one answer: keeps it under the 64 KiB that a worker accepts.
@@ -22,7 +22,7 @@
             self.deposed = true;
             env.out.respond(
                 conn,
-                Response::new(421, crate::protocol::worker::redirect(None)),
+                Response::new(421, snowshelf_model::protocol::worker::redirect(None)),
             );
             return;
         }
@@ -458,7 +458,7 @@
             if let Some(held) = machine.held.take() {
                 env.out.respond(
                     held.conn,
-                    Response::new(421, crate::protocol::worker::redirect(None)),
+                    Response::new(421, snowshelf_model::protocol::worker::redirect(None)),
                 );
             }
         }
--- a/src/coordination/shard/returns.rs
+++ b/src/coordination/shard/returns.rs
@@ -2,8 +2,8 @@
 
 use super::{Shard, requeue};
 use crate::coordination::env::{CloudTag, Env};
-use crate::ids::{Attempt, JobId, MachineId, TaskNo, seconds_to_ms};
 use crate::outbox::Response;
+use snowshelf_model::ids::{Attempt, JobId, MachineId, TaskNo, seconds_to_ms};
 use std::collections::BTreeSet;
 
 /// Names of returned machines that are remembered, to know late reports by.
--- a/src/coordination/shard/writing.rs
+++ b/src/coordination/shard/writing.rs
@@ -2,12 +2,12 @@
 
 use super::Shard;
 use super::job::Press;
-use crate::bookkeeping::records::{StepKind, alloc_key, job_key, part_key};
 use crate::bookkeeping::store::{Class, GetResult, TxnResult};
 use crate::coordination::env::{Env, Tag};
-use crate::ids::{JobId, Millis, Version, WallMs};
-use crate::protocol::state::{Change, Txn};
 use serde_json::Value;
+use snowshelf_model::ids::{JobId, Millis, Version, WallMs};
+use snowshelf_model::protocol::state::{Change, Txn};
+use snowshelf_model::records::{StepKind, alloc_key, job_key, part_key};
 use std::cmp::Reverse;
 
 /// How long starts gather before they are written, so that several share a transaction.
@@ -98,7 +98,7 @@
             // machines repeat the ends, and nothing more of it is started.
             let (share, record) = if over {
                 let wall = WallMs(env.out.wall_ms);
-                let next = job.spec.without_part(self.part, wall, env.terms);
+                let next = job.spec.without_part(self.part, wall, env.terms.format);
                 (None, env.job_value(&next))
             } else {
                 (env.terms.share(&job.view), None)
--- a/src/coordination/upgrade.rs
+++ b/src/coordination/upgrade.rs
@@ -2,11 +2,11 @@
 //! is settled for good, and each acts on it only after reading that.
 
 use super::env::{Env, Tag};
-use crate::bookkeeping::records::{FORMAT_KEY, Format, FormatRecord, Terms, WIDE, member_key};
 use crate::bookkeeping::store::{Class, TxnResult};
-use crate::ids::{Millis, Version};
-use crate::protocol::state::{Change, Txn};
 use crate::settings::StateLimits;
+use snowshelf_model::ids::{Millis, Version};
+use snowshelf_model::protocol::state::{Change, Txn};
+use snowshelf_model::records::{FORMAT_KEY, Format, FormatRecord, Terms, WIDE, member_key};
 
 /// The pause after a try that brought nothing.
 const AGAIN_MS: u64 = 700;
--- a/src/outbox.rs
+++ b/src/outbox.rs
@@ -1,9 +1,9 @@
 //! What the decisions ask the transport to do, and what it tells them of the result.
 
-use crate::ids::{CallId, ConnId, Member, Millis};
-use crate::protocol::peer::Hint;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
+use snowshelf_model::ids::{CallId, ConnId, Member, Millis};
+use snowshelf_model::protocol::peer::Hint;
 use std::net::SocketAddrV4;
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -51,7 +51,7 @@
     pub fn later(status: u16, why: &str, after_s: u64) -> Response {
         Response {
             status,
-            body: crate::protocol::user::error(why),
+            body: snowshelf_model::protocol::user::error(why),
             retry_after_s: Some(after_s.max(1)),
         }
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,7 @@
 //! The settings file that the platform hands over (TOML). Unknown fields are ignored.
 
-use crate::ids::{Member, seconds_to_ms};
 use serde::Deserialize;
+use snowshelf_model::ids::{Member, seconds_to_ms};
 use std::net::SocketAddrV4;
 
 #[derive(Debug, thiserror::Error)]
--- a/src/transport/net.rs
+++ b/src/transport/net.rs
@@ -3,15 +3,15 @@
 use super::http::{self, Parsed};
 use super::socket::{ReadEnd, Socket};
 use crate::coordination::controller::{Controller, TICK_MS};
-use crate::ids::{CallId, ConnId, Member, Millis};
 use crate::operator::OperatorSettings;
 use crate::outbox::{CallResult, Input, Output, Response, Target};
-use crate::protocol::peer::Hint;
 use crate::settings::Settings;
 use calloop::generic::Generic;
 use calloop::timer::{TimeoutAction, Timer};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use prost::Message;
+use snowshelf_model::ids::{CallId, ConnId, Member, Millis};
+use snowshelf_model::protocol::peer::Hint;
 use std::collections::{HashMap, VecDeque};
 use std::net::{SocketAddrV4, TcpListener};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -296,7 +296,7 @@
             Parsed::Bad(status) => {
                 conn.close = true;
                 conn.socket.input.clear();
-                let body = crate::protocol::user::error("the request cannot be read");
+                let body = snowshelf_model::protocol::user::error("the request cannot be read");
                 http::write_response(&mut conn.socket.output, &Response::new(status, body), true);
                 self.finish_write(id);
             }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1,15 +1,15 @@
 //! Decisions as pure functions, each test named after the failure it guards against.
 
-use snowshelf::bookkeeping::records::{JobSpec, Room};
 use snowshelf::bookkeeping::store::Bucket;
 use snowshelf::coordination::fleet::{Have, Pool, Want, plan};
 use snowshelf::coordination::gateway::split;
 use snowshelf::coordination::peers::PartRoom;
 use snowshelf::coordination::placement::{Image, Load, Seat, ZoneRule, missed, place, weights};
-use snowshelf::ids::{Millis, PartId};
-use snowshelf::protocol::cloud::MachineType;
-use snowshelf::protocol::user::parse_submission;
 use snowshelf::settings::Objective;
+use snowshelf_model::ids::{Millis, PartId};
+use snowshelf_model::protocol::cloud::MachineType;
+use snowshelf_model::protocol::user::parse_submission;
+use snowshelf_model::records::{JobSpec, Room};
 use std::collections::{BTreeMap, BTreeSet};
 
 fn spec(deadline: Option<f64>) -> JobSpec {
@@ -130,7 +130,7 @@
 
 fn shares(rooms: &BTreeMap<PartId, PartRoom>, fetch_s: f64) -> BTreeMap<u32, u32> {
     let shares = split(
-        &snowshelf::ids::JobId::new("wk-1"),
+        &snowshelf_model::ids::JobId::new("wk-1"),
         &spec(None),
         fetch_s,
         3,
@@ -311,7 +311,7 @@
 fn a_part_goes_home_only_to_a_member_that_sees_it_given() {
     use snowshelf::coordination::env::Config;
     use snowshelf::coordination::peers::Peers;
-    use snowshelf::protocol::peer::Hint;
+    use snowshelf_model::protocol::peer::Hint;
     let settings = snowshelf::settings::Settings::parse(
         "member = \"a\"\nserve_on = \"10.0.0.1:1\"\npeer_listen = \"10.0.0.1:2\"\n\
          [[peers]]\nmember = \"b\"\naddress = \"10.0.0.2:2\"\n\
@@ -322,7 +322,7 @@
     )
     .unwrap();
     let cfg = Config {
-        me: snowshelf::ids::Member::new("a"),
+        me: snowshelf_model::ids::Member::new("a"),
         members: settings.members(),
         parts: 2,
         settings,
@@ -362,9 +362,9 @@
 /// all others of its part with it.
 #[test]
 fn a_full_share_stays_under_the_largest_value() {
-    use snowshelf::bookkeeping::records::{Alloc, Step, StepKind};
-    use snowshelf::bookkeeping::spans::Spans;
-    use snowshelf::ids::{Attempt, MachineId, TaskNo};
+    use snowshelf_model::ids::{Attempt, MachineId, TaskNo};
+    use snowshelf_model::records::{Alloc, Step, StepKind};
+    use snowshelf_model::spans::Spans;
     for value_bytes in [16 * 1024, 32 * 1024] {
         let most = Alloc::most_started(value_bytes);
         assert!(most >= 250);
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -6,20 +6,20 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 use snowshelf::bookkeeping::mirror::{Final, Mirror, Versioned};
-use snowshelf::bookkeeping::packed::{pack, unpack};
-use snowshelf::bookkeeping::records::{
-    Alloc, Format, Grant, JobRecord, JobState, QuotaRecord, Room, Step, StepKind, Terms,
-};
-use snowshelf::bookkeeping::spans::Spans;
 use snowshelf::coordination::gateway::split;
 use snowshelf::coordination::graph::Graph;
 use snowshelf::coordination::ownership::{Verdict, verdict};
 use snowshelf::coordination::peers::PartRoom;
 use snowshelf::coordination::placement::{Image, Seat, ZoneRule, place};
-use snowshelf::ids::{Attempt, JobId, MachineId, PartId, TaskNo, Token, Version, WallMs};
-use snowshelf::protocol::user::{Submission, parse_submission};
-use snowshelf::protocol::worker::Report;
 use snowshelf::transport::http::{Parsed, parse_answer, parse_request};
+use snowshelf_model::ids::{Attempt, JobId, MachineId, PartId, TaskNo, Token, Version, WallMs};
+use snowshelf_model::protocol::user::{Submission, parse_submission};
+use snowshelf_model::protocol::worker::Report;
+use snowshelf_model::records::packed;
+use snowshelf_model::records::{
+    Alloc, Format, Grant, JobRecord, JobState, QuotaRecord, Room, Step, StepKind, Terms,
+};
+use snowshelf_model::spans::Spans;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -55,6 +55,15 @@
     })
 }
 
+/// A share's short form, and back.
+fn pack(share: &Alloc) -> Option<String> {
+    packed::pack(&share.waiting, &share.started, &share.finished)
+}
+
+fn unpack(text: &str) -> Option<Alloc> {
+    serde_json::from_value(serde_json::json!(text)).ok()
+}
+
 fn terms(format: Format, value_bytes: usize) -> Terms {
     Terms {
         format,
@@ -111,7 +120,7 @@
             );
         }
     }
-    let length = |_: &snowshelf::bookkeeping::records::JobSpec| 10_000;
+    let length = |_: &snowshelf_model::records::JobSpec| 10_000;
     Graph::build(
         &open,
         |_, r| Some(r.needs.iter().collect()),
@@ -459,8 +468,8 @@
     assert_eq!(serde_json::to_value(&read).unwrap(), job);
     assert!(frozen::survives("job/wk-1", &job));
     let done = serde_json::json!({"state":"Done","tasks":2,"submitted":5});
-    let narrow = read.without_part(PartId(0), WallMs(9), &terms(Format::Narrow, 2048));
-    let narrow = narrow.without_part(PartId(2), WallMs(9), &terms(Format::Narrow, 2048));
+    let narrow = read.without_part(PartId(0), WallMs(9), Format::Narrow);
+    let narrow = narrow.without_part(PartId(2), WallMs(9), Format::Narrow);
     assert!(frozen::survives(
         "job/wk-1",
         &serde_json::to_value(narrow).unwrap()
@@ -578,7 +587,7 @@
     let ready = |mirror: &Mirror| {
         let final_of = |id: &JobId| mirror.final_of(id);
         let needs_of = |id: &JobId, r| mirror.needs_of(id, r);
-        let length = |_: &snowshelf::bookkeeping::records::JobSpec| 10_000;
+        let length = |_: &snowshelf_model::records::JobSpec| 10_000;
         let graph = Graph::build(
             &mirror.jobs,
             needs_of,
@@ -622,7 +631,7 @@
 fn machines_spread_over_parts() {
     let mut counts = [0u32; 3];
     for n in 0..300 {
-        counts[snowshelf::ids::part_of(&format!("n-{n:06}"), 3).0 as usize] += 1;
+        counts[snowshelf_model::ids::part_of(&format!("n-{n:06}"), 3).0 as usize] += 1;
     }
     assert!(counts.iter().all(|c| *c > 60), "{counts:?}");
 }
--- a/tests/reading.rs
+++ b/tests/reading.rs
@@ -3,10 +3,10 @@
 
 use serde_json::json;
 use snowshelf::coordination::controller::{Controller, TICK_MS};
-use snowshelf::ids::{CallId, ConnId, Millis};
 use snowshelf::operator::OperatorSettings;
 use snowshelf::outbox::{CallResult, Input, Output, Request, Target};
 use snowshelf::settings::Settings;
+use snowshelf_model::ids::{CallId, ConnId, Millis};
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 
@@ -207,7 +207,7 @@
 #[test]
 fn what_a_second_reading_does_not_find_is_gone() {
     use snowshelf::bookkeeping::mirror::Mirror;
-    use snowshelf::ids::{JobId, PartId, Version};
+    use snowshelf_model::ids::{JobId, PartId, Version};
     let mut mirror = Mirror::default();
     let open = json!({"state": "Open", "tasks": 1, "parts": [0], "submitted": 5});
     let done = json!({"state": "Done", "tasks": 1, "submitted": 5});
