Controller and gateway in rooms: requests, answers, regular work; submissions, polls, cancels

Need: two single large types held the routing by path, the submission's way, polls and cancellation. Change: each matter has a module of its own; code moved, nothing else.

--- /dev/null
+++ b/src/coordination/controller/mod.rs
@@ -0,0 +1,183 @@
+//! One controller: routes inputs and answers to the actors that own the matter.
+
+mod answers;
+mod regular;
+mod requests;
+
+use super::env::{Claim, CloudClient, Config, Env, Tag};
+use super::fleet::Fleet;
+use super::gateway::Gateway;
+use super::graph::Graph;
+use super::ownership::Ownership;
+use super::peers::Peers;
+use super::reader::Reader;
+use super::shard::Shard;
+use super::upgrade::{Upgrade, terms};
+use crate::bookkeeping::mirror::Mirror;
+use crate::bookkeeping::store::Store;
+use crate::operator::OperatorSettings;
+use crate::outbox::{Input, Outbox, Output};
+use crate::settings::Settings;
+use snowshelf_model::ids::{Member, Millis, PartId};
+use snowshelf_model::protocol::cloud::MachineType;
+use snowshelf_model::records::{Format, Terms};
+use std::collections::BTreeMap;
+
+/// How often the regular work is done.
+pub const TICK_MS: u64 = 25;
+/// Without service for so long, this controller says that the state service does not serve it.
+const UNSERVED_MS: u64 = 1_500;
+/// Share of the state service's budget that the controllers use together: of requests, which it
+/// counts when they arrive, and of writes, which few messages carry.
+const BUDGET: f64 = 0.92;
+const WRITES_BUDGET: f64 = 0.97;
+/// Share of the cloud's request rate for each owner; the leader uses the rest.
+const OWNER_CLOUD: f64 = 0.12;
+
+/// One controller's equal share of the requests and writes a second.
+fn own_rates(terms: &Terms, nodes: u32) -> (f64, f64) {
+    let nodes = f64::from(nodes);
+    (
+        BUDGET * terms.rps / nodes,
+        WRITES_BUDGET * terms.write_rps / nodes,
+    )
+}
+
+pub struct Controller {
+    cfg: Config,
+    out: Outbox,
+    store: Store<Tag>,
+    cloud: CloudClient,
+    mirror: Mirror,
+    types: BTreeMap<String, MachineType>,
+    own: Ownership,
+    reader: Reader,
+    shards: BTreeMap<PartId, Shard>,
+    gateway: Gateway,
+    fleet: Option<Fleet>,
+    peers: Peers,
+    hint_at: Millis,
+    started: Millis,
+    publishing: bool,
+    upgrade: Upgrade,
+    terms: Terms,
+    graph: Graph,
+    /// The jobs' changes that the graph has seen, and when it was worked out.
+    graph_of: u64,
+    graph_at: Millis,
+    looked_up: Millis,
+}
+
+impl Controller {
+    pub fn new(settings: Settings, ops: OperatorSettings, now: Millis) -> Controller {
+        let terms = terms(Format::Narrow, false, &settings.deployment.state);
+        let (rps, write_rps) = own_rates(&terms, settings.deployment.nodes);
+        let store = Store::new(rps, write_rps);
+        let cloud = CloudClient::new(OWNER_CLOUD * settings.deployment.cloud.rps);
+        let seed = settings
+            .member
+            .bytes()
+            .fold(now.0, |a, b| a.wrapping_mul(31) + u64::from(b));
+        let cfg = Config {
+            me: Member::new(&settings.member),
+            members: settings.members(),
+            parts: settings.deployment.nodes,
+            settings,
+            ops,
+        };
+        Controller {
+            cfg,
+            out: Outbox::new(seed),
+            store,
+            cloud,
+            mirror: Mirror::default(),
+            types: BTreeMap::new(),
+            own: Ownership::default(),
+            reader: Reader::default(),
+            shards: BTreeMap::new(),
+            gateway: Gateway::default(),
+            fleet: None,
+            peers: Peers::default(),
+            hint_at: Millis(0),
+            started: now,
+            publishing: false,
+            upgrade: Upgrade::default(),
+            terms,
+            graph: Graph::default(),
+            graph_of: 0,
+            graph_at: Millis(0),
+            looked_up: Millis(0),
+        }
+    }
+
+    /// Handles one input at `now` and returns what is to be done about it.
+    pub fn handle(&mut self, input: Input, now: Millis, wall_ms: u64) -> Vec<Output> {
+        self.out.now = now;
+        self.out.wall_ms = wall_ms;
+        match input {
+            Input::Request(conn, request) => self.request(conn, request),
+            Input::CallDone(id, result) => self.call_done(id, &result),
+            Input::Hint(hint) => self.peers.take(now, hint, &self.cfg),
+            Input::Tick => self.tick(),
+        }
+        std::mem::take(&mut self.out.outputs)
+    }
+
+    /// Runs `f` with one actor's environment.
+    fn env(&mut self) -> Env<'_> {
+        Env {
+            out: &mut self.out,
+            store: &mut self.store,
+            cloud: &mut self.cloud,
+            mirror: &mut self.mirror,
+            cfg: &self.cfg,
+            types: &self.types,
+            terms: &self.terms,
+            graph: &self.graph,
+        }
+    }
+
+    fn state_silent_ms(&self) -> u64 {
+        let last = self.store.served.unwrap_or(self.started);
+        self.out.now.since(last)
+    }
+
+    /// Whether this controller may answer workers for a part that it holds.
+    fn may_answer(&self) -> bool {
+        if self.own.fresh(self.out.now) {
+            return true;
+        }
+        // The state service serves hardly anybody: nobody can have taken the part, so the workers'
+        // leases are kept up. If it serves the others, one of them takes over.
+        self.own.lease.is_some() && self.outage()
+    }
+
+    fn outage(&self) -> bool {
+        let unserved = self.peers.unserved(self.out.now, UNSERVED_MS);
+        self.state_silent_ms() >= UNSERVED_MS && 2 * unserved > self.cfg.members.len()
+    }
+
+    fn with_gateway<T>(&mut self, f: impl FnOnce(&mut Gateway, &mut Env) -> T) -> T {
+        let mut gateway = std::mem::take(&mut self.gateway);
+        let result = f(&mut gateway, &mut self.env());
+        self.gateway = gateway;
+        result
+    }
+
+    fn with_shard(&mut self, part: PartId, f: impl FnOnce(&mut Shard, &mut Env)) {
+        let Some(mut shard) = self.shards.remove(&part) else {
+            return;
+        };
+        f(&mut shard, &mut self.env());
+        if shard.deposed {
+            shard.drop_held(&mut self.env());
+            if self.own.token(part) == Some(shard.token) {
+                tracing::info!(part = %part, token = %shard.token, "lets the part go");
+                let now = self.out.now;
+                self.own.lose(Claim::Part(part), now);
+            }
+        } else {
+            self.shards.insert(part, shard);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/controller/regular.rs
@@ -0,0 +1,221 @@
+//! The regular work: every actor's turn, and what this controller tells the others.
+
+use super::{Controller, UNSERVED_MS, own_rates};
+use crate::bookkeeping::store::Class;
+use crate::coordination::env::{Claim, Tag};
+use crate::coordination::graph::Graph;
+use crate::coordination::placement::{estimate, slowest_fetch};
+use crate::coordination::upgrade::terms;
+use crate::outbox::Output;
+use snowshelf_model::ids::{JobId, PartId, Team, WallMs, seconds_to_ms};
+use snowshelf_model::protocol::peer::{Hint, PartHint};
+use snowshelf_model::records::{JobSpec, job_key};
+use std::collections::BTreeSet;
+
+const HINT_MS: u64 = 400;
+/// Machines heard within this time are told of to the leader.
+const HEARD_MS: u64 = 10_000;
+/// The least time between two workings out of what needs what.
+const GRAPH_MS: u64 = 50;
+/// Most jobs at once that are read because waiting ones need them and nothing is known of them.
+const LOOK_UPS: usize = 4;
+/// The pause between two such readings.
+const LOOK_UP_MS: u64 = 500;
+
+impl Controller {
+    pub(super) fn tick(&mut self) {
+        let now = self.out.now;
+        let mut reader = std::mem::take(&mut self.reader);
+        reader.tick(&mut self.env());
+        self.reader = reader;
+        self.tick_terms();
+        self.tick_graph();
+        let up_homes = self.peers.up_homes(now, &self.cfg);
+        let mut own = std::mem::take(&mut self.own);
+        own.tick(&up_homes, &mut self.env());
+        self.own = own;
+        self.check_held();
+        let fresh = self.own.fresh(now);
+        let short: BTreeSet<Team> = self.peers.short_of(now);
+        let mut missing = self.peers.missing(now);
+        missing.extend(self.fleet.iter().flat_map(|f| f.missing.keys().cloned()));
+        let answers = self.may_answer();
+        let parts: Vec<PartId> = self.shards.keys().copied().collect();
+        for part in parts {
+            self.with_shard(part, |shard, env| {
+                shard.tick(fresh, &short, &missing, env);
+                if !answers {
+                    shard.drop_held(env);
+                }
+            });
+        }
+        let mut rooms = self.peers.rooms(now);
+        rooms.extend(self.shards.values().map(|s| (s.part, s.room())));
+        let away = self.state_silent_ms() >= UNSERVED_MS;
+        let mut gateway = std::mem::take(&mut self.gateway);
+        gateway.rooms = rooms;
+        gateway.flush_polls(&mut self.env());
+        gateway.flush_pieces(&mut self.env());
+        if away {
+            gateway.refuse_all(&mut self.env());
+        } else {
+            gateway.flush(&mut self.env());
+            if fresh {
+                let mine = self.shards.keys().copied().collect();
+                gateway.cascade(&mine, &mut self.env());
+            }
+        }
+        self.gateway = gateway;
+        if let Some(mut fleet) = self.fleet.take() {
+            if fresh {
+                let owned = self.mirror.parts.len() == self.cfg.parts as usize
+                    && self.peers.fresh(now).count() + 1 == self.cfg.members.len();
+                if fleet.wants_heard(now) {
+                    let mut heard = self.peers.heard_machines(now);
+                    for shard in self.shards.values() {
+                        heard.extend(shard.heard(now, HEARD_MS).map(|m| m.as_str().to_string()));
+                    }
+                    fleet.note_heard(now, heard.into_iter());
+                }
+                fleet.tick(owned, &mut self.env());
+            }
+            self.fleet = Some(fleet);
+        }
+        if now.since(self.hint_at) >= HINT_MS {
+            self.hint_at = now;
+            self.hint();
+        }
+    }
+
+    /// Keeps to what may be written by now.
+    fn tick_terms(&mut self) {
+        let mut upgrade = std::mem::take(&mut self.upgrade);
+        upgrade.tick(&mut self.env());
+        self.upgrade = upgrade;
+        let state = &self.cfg.settings.deployment.state;
+        let now = terms(self.mirror.format, self.store.refused, state);
+        if now != self.terms {
+            tracing::info!(format = ?now.format, value_bytes = now.value_bytes, txn_ops = now.txn_ops,
+                rps = now.rps, write_rps = now.write_rps, "writes keep to other terms");
+            let (rps, write_rps) = own_rates(&now, self.cfg.parts);
+            self.store.set_rates(rps, write_rps);
+            self.terms = now;
+        }
+    }
+
+    /// Works out anew what needs what, if a job has changed since, and reads what is not known.
+    fn tick_graph(&mut self) {
+        let now = self.out.now;
+        if self.graph_of != self.mirror.job_changes && now.since(self.graph_at) >= GRAPH_MS {
+            self.graph_of = self.mirror.job_changes;
+            self.graph_at = now;
+            let slowest = slowest_fetch(self.types.values());
+            let default_s = self.cfg.ops.default_run_s;
+            let length_ms =
+                |spec: &JobSpec| seconds_to_ms(estimate(spec, default_s) + spec.pull_gb / slowest);
+            let mirror = &self.mirror;
+            let wall = WallMs(self.out.wall_ms);
+            let final_of = |id: &JobId| mirror.final_of(id);
+            let needs_of = |id: &JobId, record| mirror.needs_of(id, record);
+            let graph = Graph::build(
+                &mirror.jobs,
+                needs_of,
+                final_of,
+                length_ms,
+                wall,
+                &self.graph,
+            );
+            self.graph = graph;
+        }
+        if self.graph.unknown.is_empty() || now.since(self.looked_up) < LOOK_UP_MS {
+            return;
+        }
+        self.looked_up = now;
+        // Ended long ago and dropped from the mirror, or not come yet.
+        for job in self.graph.unknown.iter().take(LOOK_UPS) {
+            if self.store.may(now, Class::Ends, 0) {
+                let tag = Tag::Needed(None, job.clone());
+                self.store.get(&mut self.out, tag, &job_key(job), 1_500);
+            }
+        }
+    }
+
+    /// Lets go of what the mirror shows to be another's.
+    fn check_held(&mut self) {
+        if !self.mirror.loaded {
+            return;
+        }
+        let now = self.out.now;
+        for (part, token) in self.own.parts() {
+            if self.mirror.revision.0 < token.0 {
+                continue;
+            }
+            let version = self.mirror.parts.get(&part).map(|v| v.version.0);
+            if version != Some(token.0) {
+                tracing::info!(part = %part, token = %token, "the part has changed hands");
+                self.own.lose(Claim::Part(part), now);
+            }
+        }
+        let own = &self.own;
+        let gone: Vec<PartId> = self
+            .shards
+            .values()
+            .filter(|s| own.token(s.part) != Some(s.token))
+            .map(|s| s.part)
+            .collect();
+        for part in gone {
+            if let Some(mut shard) = self.shards.remove(&part) {
+                shard.drop_held(&mut self.env());
+            }
+        }
+        if let Some(token) = self.own.leads()
+            && self.mirror.revision.0 >= token.0
+            && self.mirror.leader.as_ref().map(|v| v.version.0) != Some(token.0)
+        {
+            self.own.lose(Claim::Leader, now);
+        }
+        let leads = self.own.leads();
+        if self.fleet.as_ref().is_some_and(|f| Some(f.token) != leads) {
+            self.fleet = None;
+        }
+    }
+
+    fn hint(&mut self) {
+        let now = self.out.now;
+        let mut short_of: BTreeSet<String> = BTreeSet::new();
+        let mut parts = Vec::new();
+        for shard in self.shards.values() {
+            short_of.extend(shard.short_of.keys().map(|t| t.as_str().to_string()));
+            parts.push(PartHint {
+                part: shard.part.0,
+                free_cpus: shard.free_cpus,
+                capacity_cpus: shard.room().capacity,
+                waiting_cpus: shard.waiting_cpus,
+                heard: shard
+                    .heard(now, HEARD_MS)
+                    .map(|m| m.as_str().to_string())
+                    .collect(),
+            });
+        }
+        let hint = Hint {
+            member: self.cfg.me.as_str().to_string(),
+            state_silent_ms: self.state_silent_ms(),
+            up_ms: now.since(self.started),
+            feed_silent_ms: now.since(self.reader.feed_at),
+            parts,
+            short_of: short_of.into_iter().collect(),
+            missing: self
+                .fleet
+                .iter()
+                .flat_map(|f| f.missing.keys().map(|m| m.as_str().to_string()))
+                .collect(),
+        };
+        for member in &self.cfg.members {
+            if *member != self.cfg.me {
+                self.out
+                    .outputs
+                    .push(Output::Hint(member.clone(), hint.clone()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/controller/requests.rs
@@ -0,0 +1,101 @@
+//! Requests of users, workers and health checks, by path.
+
+use super::{Controller, UNSERVED_MS};
+use crate::coordination::env::ReadFor;
+use crate::outbox::{Request, Response};
+use snowshelf_model::ids::{ConnId, JobId, part_of};
+use snowshelf_model::protocol::user;
+use snowshelf_model::protocol::worker::{Report, redirect};
+
+impl Controller {
+    pub(super) fn request(&mut self, conn: ConnId, request: Request) {
+        let path = request.path.split('?').next().unwrap_or("");
+        match (request.method.as_str(), path) {
+            ("GET", "/ready") => self.ready(conn),
+            ("POST", "/checkin") => self.check_in(conn, &request.body),
+            ("POST", "/api/jobs") => {
+                let mut gateway = std::mem::take(&mut self.gateway);
+                if self.state_silent_ms() >= UNSERVED_MS
+                    && user::parse_submission(&request.body).is_ok()
+                {
+                    let later = Response::later(503, "the state service is away", 2);
+                    self.out.respond(conn, later);
+                } else {
+                    gateway.submit(conn, &request.body, &mut self.env());
+                }
+                self.gateway = gateway;
+            }
+            (_, "/ready" | "/checkin" | "/api/jobs") => self.wrong_method(conn),
+            (method, path) => {
+                let Some(rest) = path.strip_prefix("/api/jobs/") else {
+                    let body = user::error("no such path");
+                    self.out.respond(conn, Response::new(404, body));
+                    return;
+                };
+                let (id, why) = match rest.strip_suffix("/cancel") {
+                    Some(id) => (id, ReadFor::Cancel),
+                    None => (rest, ReadFor::Poll),
+                };
+                let wanted = match why {
+                    ReadFor::Cancel => "POST",
+                    _ => "GET",
+                };
+                if !user::is_job_id(id) {
+                    let body = user::error("no such job");
+                    self.out.respond(conn, Response::new(404, body));
+                } else if method != wanted {
+                    self.wrong_method(conn);
+                } else {
+                    self.with_gateway(|gateway, env| gateway.read(conn, &JobId::new(id), why, env));
+                }
+            }
+        }
+    }
+
+    fn wrong_method(&mut self, conn: ConnId) {
+        let body = user::error("this path does not take that method");
+        self.out.respond(conn, Response::new(405, body));
+    }
+
+    fn ready(&mut self, conn: ConnId) {
+        let silent = self.state_silent_ms();
+        let decides = self.mirror.loaded && !self.types.is_empty();
+        // In an outage that everybody shares, leaving the load balancer would only delay the return.
+        let served = silent < 3_000 || self.outage();
+        let response = if decides && served {
+            Response::new(200, b"{}".to_vec())
+        } else {
+            Response::later(503, "not ready", 1)
+        };
+        self.out.respond(conn, response);
+    }
+
+    fn check_in(&mut self, conn: ConnId, body: &[u8]) {
+        let report: Report = match serde_json::from_slice(body) {
+            Ok(report) => report,
+            Err(error) => {
+                tracing::info!(%error, "malformed report");
+                let body = user::error(&error.to_string());
+                self.out.respond(conn, Response::new(400, body));
+                return;
+            }
+        };
+        let part = part_of(report.machine.as_str(), self.cfg.parts);
+        let held = self.own.token(part).is_some() && self.shards.contains_key(&part);
+        if held && self.may_answer() {
+            self.with_shard(part, |shard, env| shard.check_in(conn, report, env));
+            return;
+        }
+        let owner = self
+            .mirror
+            .parts
+            .get(&part)
+            .map(|v| v.value.owner.clone())
+            .filter(|owner| *owner != self.cfg.me && !held);
+        let response = match owner {
+            Some(owner) => Response::new(421, redirect(Some(owner.as_str()))),
+            None => Response::new(421, redirect(None)),
+        };
+        self.out.respond(conn, response);
+    }
+}
