Switches: settings in several files, and features declared by every controller before use

Need: each feature is switched on by a file of its own, and a controller whose peers do not know it yet must not write its records. Without a feature the records are byte for byte as before.

--- a/crates/model/src/records/format.rs
+++ b/crates/model/src/records/format.rs
@@ -1,6 +1,7 @@
 //! How records are written, and what the controllers have said that they read.
 
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 /// How records are written. Both are read for ever.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Default)]
@@ -15,8 +16,27 @@
 /// The first format number that means `Wide`.
 pub const WIDE: u32 = 2;
 
-/// `member/<name>`: what that controller can read; `format`: what all of them can, for good.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+/// What a controller can do beyond the format: a feature whose records every controller must know
+/// before any of them is written.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Capability(String);
+
+impl Capability {
+    /// Reservations and maintenance windows.
+    pub fn calendar() -> Capability {
+        Capability("calendar".to_string())
+    }
+    pub fn named(name: &str) -> Capability {
+        Capability(name.to_string())
+    }
+}
+
+/// `member/<name>`: what that controller can read and do; `format`: what all of them can, for good.
+/// Capabilities that this version does not know are kept as they are.
+#[derive(Clone, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
 pub struct FormatRecord {
     pub format: u32,
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub can: BTreeSet<Capability>,
 }
--- a/crates/model/src/records/mod.rs
+++ b/crates/model/src/records/mod.rs
@@ -10,7 +10,7 @@
 mod share;
 mod terms;
 
-pub use format::{Format, FormatRecord, WIDE};
+pub use format::{Capability, Format, FormatRecord, WIDE};
 pub use job::{JobRecord, JobSpec, JobState, Kind, Priority};
 pub use keys::{
     FORMAT_KEY, LEADER_KEY, alloc_key, job_key, member_key, needs_key, part_key, quota_key,
--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -7,10 +7,10 @@
 use snowshelf_model::ids::{JobId, Member, PartId, Team, Version, WallMs};
 use snowshelf_model::protocol::cloud::MachineType;
 use snowshelf_model::records::{
-    Alloc, FORMAT_KEY, Format, FormatRecord, JobRecord, JobState, LEADER_KEY, PartRecord,
-    QuotaRecord, WIDE, alloc_key, job_key, part_key, quota_key,
+    Alloc, Capability, FORMAT_KEY, Format, FormatRecord, JobRecord, JobState, LEADER_KEY,
+    PartRecord, QuotaRecord, WIDE, alloc_key, job_key, member_key, part_key, quota_key,
 };
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 
 pub const TYPES_KEY: &str = "types";
@@ -57,8 +57,9 @@
     pub types: Option<Versioned<Vec<MachineType>>>,
     /// Lists of needed jobs that have values of their own, of jobs that have not ended.
     pub needs: BTreeMap<(JobId, u32), Rc<Vec<JobId>>>,
-    /// Controllers that have said that they read the wide format.
-    pub wide_members: BTreeSet<Member>,
+    /// What each controller has said that it can read and do, and what all of them have.
+    pub members: BTreeMap<Member, Versioned<FormatRecord>>,
+    pub agreed: Option<Versioned<FormatRecord>>,
     /// How records are to be written, as far as it is settled.
     pub format: Format,
     /// Counts the changes of jobs' records.
@@ -85,17 +86,17 @@
     }
 }
 
-/// Whether a record tells of the wide format.
-fn wide(key: &str, value: Option<&Value>) -> bool {
-    let record = value.and_then(|v| read::<FormatRecord>(key, v));
-    record.is_some_and(|r| r.format >= WIDE)
-}
-
 impl Mirror {
     pub fn final_of(&self, job: &JobId) -> Option<Final> {
         self.finals.get(job).copied()
     }
 
+    /// Whether all controllers have said, for good, that they can do this.
+    pub fn all_can(&self, what: &Capability) -> bool {
+        let agreed = self.agreed.as_ref();
+        agreed.is_some_and(|v| v.value.can.contains(what))
+    }
+
     /// What a job needs; `None` if a part of the list is not known here.
     pub fn needs_of<'a>(&'a self, job: &JobId, record: &'a JobRecord) -> Option<Vec<&'a JobId>> {
         let mut needs: Vec<&JobId> = record.needs.iter().collect();
@@ -211,15 +212,17 @@
             return Some(Changed::Quota(Team::new(team)));
         }
         if let Some(member) = key.strip_prefix("member/") {
-            if wide(key, value) {
-                self.wide_members.insert(Member::new(member));
-            }
+            set(&mut self.members, Member::new(member), key, value, version);
             return Some(Changed::Format);
         }
         if key == FORMAT_KEY {
             // For good: what was written since cannot be read by an earlier version.
-            if wide(key, value) {
-                self.format = Format::Wide;
+            if let Some(record) = value.and_then(|v| read::<FormatRecord>(key, v)) {
+                if record.format >= WIDE {
+                    self.format = Format::Wide;
+                }
+                let value = Rc::new(record);
+                self.agreed = Some(Versioned { version, value });
             }
             return Some(Changed::Format);
         }
@@ -253,6 +256,7 @@
         known.extend(self.allocs.keys().map(|(p, j)| alloc_key(*p, j)));
         known.extend(self.parts.keys().map(|p| part_key(*p)));
         known.extend(self.quotas.keys().map(quota_key));
+        known.extend(self.members.keys().map(member_key));
         known.extend(self.leader.iter().map(|_| LEADER_KEY.to_string()));
         known.sort_unstable();
         known
--- a/src/coordination/controller/answers.rs
+++ b/src/coordination/controller/answers.rs
@@ -187,9 +187,9 @@
                 let jobs = self.with_gateway(|gateway, env| gateway.cascaded(id, result, env));
                 self.changed(jobs.into_iter().map(Changed::Job).collect());
             }
-            (Tag::Declare(key), Reply::Txn(result)) => {
+            (Tag::Declare(key, value), Reply::Txn(result)) => {
                 let mut upgrade = std::mem::take(&mut self.upgrade);
-                upgrade.declared(&key, result, &mut self.env());
+                upgrade.declared(&key, &value, result, &mut self.env());
                 self.upgrade = upgrade;
             }
             (Tag::Cancel(id), Reply::Txn(result)) => {
--- a/src/coordination/controller/mod.rs
+++ b/src/coordination/controller/mod.rs
@@ -82,6 +82,7 @@
             me: Member::new(&settings.member),
             members: settings.members(),
             parts: settings.deployment.nodes,
+            can: ops.can(),
             settings,
             ops,
         };
--- a/src/coordination/env.rs
+++ b/src/coordination/env.rs
@@ -10,8 +10,8 @@
 use snowshelf_model::ids::{CallId, ConnId, JobId, MachineId, Member, Millis, PartId, Token};
 use snowshelf_model::protocol::cloud::{MachineType, release_body};
 use snowshelf_model::protocol::state::Txn;
-use snowshelf_model::records::{JobRecord, Terms};
-use std::collections::{BTreeMap, HashMap};
+use snowshelf_model::records::{Capability, JobRecord, Terms};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Whom an answer of the state service is for.
 #[derive(Clone, Debug)]
@@ -40,8 +40,8 @@
     Cascade(u64),
     GiveUp(PartId),
     PublishTypes(Vec<MachineType>),
-    /// This controller's word on the format, or all of theirs.
-    Declare(String),
+    /// This controller's word on what it can, or all of theirs: the key and its value.
+    Declare(String, Value),
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
@@ -120,6 +120,8 @@
     pub ops: OperatorSettings,
     pub me: Member,
     pub members: Vec<Member>,
+    /// What this controller can do, as its operators have it.
+    pub can: BTreeSet<Capability>,
     pub parts: u32,
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -21,9 +21,9 @@
     /// The platform's settings (TOML).
     #[arg(long, value_name = "FILE")]
     config: PathBuf,
-    /// The operators' own settings (JSON); see `snowshelf schema`.
+    /// The operators' own settings (JSON); see `snowshelf schema`. Several files are merged.
     #[arg(long, value_name = "FILE")]
-    operator: Option<PathBuf>,
+    operator: Vec<PathBuf>,
 }
 
 #[derive(Subcommand)]
@@ -39,10 +39,11 @@
         std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
     };
     let settings = Settings::parse(&read(&files.config)?).map_err(|e| e.to_string())?;
-    let ops = match &files.operator {
-        Some(path) => OperatorSettings::parse(&read(path)?)?,
-        None => OperatorSettings::default(),
-    };
+    let texts = files.operator.iter().map(|path| {
+        let text = read(path)?;
+        Ok((path.display().to_string(), text))
+    });
+    let ops = OperatorSettings::merge(&texts.collect::<Result<Vec<_>, String>>()?)?;
     Ok((settings, ops))
 }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -327,6 +327,7 @@
         parts: 2,
         settings,
         ops: snowshelf::operator::OperatorSettings::default(),
+        can: Default::default(),
     };
     let hint = |feed_silent_ms| Hint {
         member: "b".into(),
@@ -386,3 +387,56 @@
         assert!(size < value_bytes, "{size} of {value_bytes}");
     }
 }
+
+/// Guards against records of a feature written while some controller does not know them: whatever
+/// order the words come in, a capability is settled only once everybody has said it, and what is
+/// settled, or not known here, is never taken back.
+#[test]
+fn a_feature_is_settled_only_when_every_controller_has_it() {
+    use snowshelf::bookkeeping::mirror::Versioned;
+    use snowshelf::coordination::upgrade::next_word;
+    use snowshelf_model::ids::{Member, Version};
+    use snowshelf_model::records::{Capability, FormatRecord, WIDE};
+    use std::collections::BTreeSet;
+    use std::rc::Rc;
+    let all = [Member::new("a"), Member::new("b")];
+    let can = |names: &[&str]| -> BTreeSet<Capability> {
+        names.iter().map(|n| Capability::named(n)).collect()
+    };
+    let word = |version, format, names: &[&str]| Versioned {
+        version: Version(version),
+        value: Rc::new(FormatRecord {
+            format,
+            can: can(names),
+        }),
+    };
+    let mut said = BTreeMap::new();
+    let next = |mine: &[&str], said: &BTreeMap<_, _>, agreed| {
+        next_word(&all[0], &can(mine), &all, said, agreed)
+    };
+    // First its own word, and nothing before all have spoken.
+    let (key, version, record) = next(&["x"], &said, None).unwrap();
+    assert_eq!(
+        (key.as_str(), version.0, record.can),
+        ("member/a", 0, can(&["x"]))
+    );
+    said.insert(all[0].clone(), word(5, WIDE, &["x"]));
+    assert!(next(&["x"], &said, None).is_none());
+    said.insert(all[1].clone(), word(6, WIDE, &[]));
+    let (key, _, record) = next(&["x"], &said, None).unwrap();
+    assert_eq!((key.as_str(), record.can), ("format", can(&[])));
+    // The other one is switched on too; what a newer version has settled stays.
+    said.insert(all[1].clone(), word(8, WIDE, &["x", "z"]));
+    let agreed = word(7, WIDE, &["y"]);
+    let (_, version, record) = next(&["x"], &said, Some(&agreed)).unwrap();
+    assert_eq!((version.0, record.can), (7, can(&["x", "y"])));
+    // Switched off again: its own word changes, what is settled does not.
+    let settled = word(9, WIDE, &["x", "y"]);
+    let (key, version, record) = next(&[], &said, Some(&settled)).unwrap();
+    assert_eq!(
+        (key.as_str(), version.0, record.can),
+        ("member/a", 5, can(&[]))
+    );
+    said.insert(all[0].clone(), word(10, WIDE, &[]));
+    assert!(next(&[], &said, Some(&settled)).is_none());
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -99,3 +99,36 @@
         "{error}"
     );
 }
+
+/// Features stand in files of their own; what two of them say differently is not settled by their order.
+#[test]
+fn several_files_are_merged_and_a_conflict_names_both() {
+    let merge = |files: &[(&str, &str)]| {
+        let files: Vec<(String, String)> = files
+            .iter()
+            .map(|(name, text)| (name.to_string(), text.to_string()))
+            .collect();
+        OperatorSettings::merge(&files)
+    };
+    let both = merge(&[
+        ("a.json", r#"{"hold_ms": 5, "calendar": {"enabled": true}}"#),
+        ("b.json", r#"{"hold_ms": 5, "calendar": {"margin": 2.0}}"#),
+    ])
+    .unwrap();
+    assert_eq!((both.hold_ms, both.calendar.margin), (5, 2.0));
+    assert!(both.calendar.enabled && both.can().len() == 1);
+    assert!(merge(&[]).unwrap().can().is_empty());
+    let error = merge(&[
+        ("a.json", r#"{"calendar": {"margin": 1.5}}"#),
+        ("b.json", r#"{"calendar": {"margin": 2.0}}"#),
+    ])
+    .unwrap_err();
+    for named in ["a.json", "b.json", "/calendar/margin"] {
+        assert!(error.contains(named), "{error}");
+    }
+    let error = merge(&[("a.json", "{}"), ("b.json", r#"{"calendar": {"on": 1}}"#)]).unwrap_err();
+    assert!(
+        error.starts_with("b.json") && error.contains("/calendar"),
+        "{error}"
+    );
+}
