A calendar of reservations and maintenance windows, pure, in a package of its own

Need: harvest weeks and month-end settlement are known months ahead. Nothing of it is called by a controller yet.

--- /dev/null
+++ b/crates/calendar/src/refusal.rs
@@ -0,0 +1,152 @@
+//! Why a reservation or a window is not taken, in full.
+
+use crate::amount::Amount;
+use crate::entry::{Name, shown};
+use serde_json::{Value, json};
+use snowshelf_model::ids::WallMs;
+use std::fmt;
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Kind {
+    Reservation,
+    Window,
+}
+
+/// Something taken earlier that stands in the way, and when it does.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Clash {
+    pub kind: Kind,
+    pub name: Name,
+    pub from: WallMs,
+    pub until: WallMs,
+}
+
+/// What runs short where there is a clash.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Short {
+    /// Room in the places allowed.
+    Room,
+    /// The team's limit.
+    Limit,
+    /// What would be closed is reserved.
+    Reserved,
+}
+
+#[derive(Clone, PartialEq, Debug)]
+pub enum Refusal {
+    Past,
+    TooFar(WallMs),
+    UnknownTeam,
+    /// No machine type in the zones and types allowed.
+    NoPlace,
+    /// More than all places allowed ever have; what they have.
+    NeverFits(Amount),
+    /// More than the team's limit; the limit.
+    OverLimit(Amount),
+    TooMany(usize),
+    /// Another entry has the name.
+    Taken,
+    /// It fits, but not then.
+    Clash {
+        short: Short,
+        /// How much is missing, where that is an amount.
+        lacks: Amount,
+        /// Everything in the way.
+        clashes: Vec<Clash>,
+        /// The first time at which it would fit, if one was found.
+        fits_from: Option<WallMs>,
+    },
+}
+
+/// Most clashes that one answer names.
+const MOST_NAMED: usize = 20;
+
+impl Refusal {
+    /// The status that tells it: 409 for what may fit another time, 422 for what never does.
+    pub fn status(&self) -> u16 {
+        match self {
+            Refusal::Clash { .. } | Refusal::Taken | Refusal::TooMany(_) => 409,
+            _ => 422,
+        }
+    }
+
+    pub fn body(&self) -> Value {
+        let mut body = json!({"error": self.to_string()});
+        if let Refusal::Clash {
+            clashes,
+            fits_from,
+            lacks,
+            ..
+        } = self
+        {
+            let list: Vec<Value> = clashes
+                .iter()
+                .take(MOST_NAMED)
+                .map(|c| {
+                    let kind = match c.kind {
+                        Kind::Reservation => "reservation",
+                        Kind::Window => "window",
+                    };
+                    json!({"kind": kind, "name": c.name.as_str(), "from": shown(c.from),
+                        "until": shown(c.until)})
+                })
+                .collect();
+            body["clashes"] = json!(list);
+            if clashes.len() > MOST_NAMED {
+                body["more_clashes"] = json!(clashes.len() - MOST_NAMED);
+            }
+            if !lacks.is_zero() {
+                let room = lacks.room();
+                body["lacks"] = json!({"cpus": room.cpus, "gpus": room.gpus, "mem_gb": room.mem});
+            }
+            if let Some(at) = fits_from {
+                body["fits_from"] = json!(shown(*at));
+            }
+        }
+        body
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let words = |amount: Amount| {
+            let r = amount.room();
+            format!("{} CPUs, {} GPUs, {} GB", r.cpus, r.gpus, r.mem)
+        };
+        match self {
+            Refusal::Past => f.write_str("it lies in the past"),
+            Refusal::TooFar(at) => write!(f, "it goes beyond {}, as far as is planned", shown(*at)),
+            Refusal::UnknownTeam => f.write_str("unknown team"),
+            Refusal::NoPlace => f.write_str("no machine type fits the zone and types"),
+            Refusal::NeverFits(most) => {
+                write!(
+                    f,
+                    "the places allowed never have more than {}",
+                    words(*most)
+                )
+            }
+            Refusal::OverLimit(most) => write!(f, "the team's limit is {}", words(*most)),
+            Refusal::TooMany(most) => write!(f, "there are {most} entries, as many as are taken"),
+            Refusal::Taken => f.write_str("another entry has this name"),
+            Refusal::Clash { short, clashes, .. } => {
+                match short {
+                    Short::Room => f.write_str("there is no room for it then")?,
+                    Short::Limit => f.write_str("the team's limit is reserved by then")?,
+                    Short::Reserved => f.write_str("what it would close is reserved")?,
+                }
+                if let Some(c) = clashes.first() {
+                    let kind = match c.kind {
+                        Kind::Reservation => "reservation",
+                        Kind::Window => "window",
+                    };
+                    let (from, until) = (shown(c.from), shown(c.until));
+                    write!(f, ": {kind} {} from {from} until {until}", c.name)?;
+                }
+                match clashes.len() {
+                    0 | 1 => Ok(()),
+                    n => write!(f, ", and {} more", n - 1),
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/calendar/src/timeline.rs
@@ -0,0 +1,208 @@
+//! What is booked over time, as changes at points of time in a persistent tree.
+//!
+//! Every node knows the sum of the changes below it and the highest level that they reach on the way, so
+//! that the highest level between two times is found in logarithmic time. Nothing is changed in
+//! place: a what-if is a clone that shares all it has not changed. The tree's shape follows from its
+//! keys alone (a treap whose priorities are hashes of the keys).
+
+use crate::amount::Amount;
+use snowshelf_model::ids::WallMs;
+use std::sync::Arc;
+
+type Link = Option<Arc<Node>>;
+
+#[derive(Debug)]
+struct Node {
+    at: WallMs,
+    change: Amount,
+    below: Span,
+    left: Link,
+    right: Link,
+}
+
+/// A run of changes: what they come to, and the highest level on the way, the start included.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Span {
+    sum: Amount,
+    peak: Amount,
+}
+
+impl Span {
+    fn of(change: Amount) -> Span {
+        Span {
+            sum: change,
+            peak: change.max(Amount::ZERO),
+        }
+    }
+    fn then(self, next: Span) -> Span {
+        Span {
+            sum: self.sum.plus(next.sum),
+            peak: self.peak.max(self.sum.plus(next.peak)),
+        }
+    }
+}
+
+/// Spreads keys over priorities (the finalizer of splitmix64).
+fn priority(at: WallMs) -> u64 {
+    let mut x = at.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+fn below(link: &Link) -> Span {
+    link.as_ref().map(|n| n.below).unwrap_or_default()
+}
+
+fn node(at: WallMs, change: Amount, left: Link, right: Link) -> Link {
+    let below = below(&left).then(Span::of(change)).then(below(&right));
+    Some(Arc::new(Node {
+        at,
+        change,
+        below,
+        left,
+        right,
+    }))
+}
+
+/// Keys before `at`, and the others.
+fn split(link: &Link, at: WallMs) -> (Link, Link) {
+    let Some(n) = link else {
+        return (None, None);
+    };
+    if n.at < at {
+        let (less, rest) = split(&n.right, at);
+        (node(n.at, n.change, n.left.clone(), less), rest)
+    } else {
+        let (less, rest) = split(&n.left, at);
+        (less, node(n.at, n.change, rest, n.right.clone()))
+    }
+}
+
+/// Joins two trees, all keys of the first before those of the second.
+fn join(a: &Link, b: &Link) -> Link {
+    match (a, b) {
+        (None, rest) | (rest, None) => rest.clone(),
+        (Some(x), Some(y)) if priority(x.at) >= priority(y.at) => {
+            node(x.at, x.change, x.left.clone(), join(&x.right, b))
+        }
+        (Some(_), Some(y)) => node(y.at, y.change, join(a, &y.left), y.right.clone()),
+    }
+}
+
+/// The run of changes after `from` and before `until`, where these are given.
+fn run(link: &Link, from: Option<WallMs>, until: Option<WallMs>) -> Span {
+    let Some(n) = link else {
+        return Span::default();
+    };
+    if from.is_none() && until.is_none() {
+        return n.below;
+    }
+    if from.is_some_and(|from| n.at <= from) {
+        return run(&n.right, from, until);
+    }
+    if until.is_some_and(|until| n.at >= until) {
+        return run(&n.left, from, until);
+    }
+    run(&n.left, from, None)
+        .then(Span::of(n.change))
+        .then(run(&n.right, None, until))
+}
+
+/// The first time after `from` and before `until` at which the level, coming from `level`, does not
+/// fit any more; the level at the end otherwise.
+fn first_over(
+    link: &Link,
+    from: Option<WallMs>,
+    until: Option<WallMs>,
+    level: Amount,
+    most: Amount,
+) -> Result<Amount, WallMs> {
+    let Some(n) = link else {
+        return Ok(level);
+    };
+    if from.is_some_and(|from| n.at <= from) {
+        return first_over(&n.right, from, until, level, most);
+    }
+    if until.is_some_and(|until| n.at >= until) {
+        return first_over(&n.left, from, until, level, most);
+    }
+    if from.is_none() && until.is_none() && level.plus(n.below.peak).fits_in(most) {
+        return Ok(level.plus(n.below.sum));
+    }
+    let level = first_over(&n.left, from, None, level, most)?.plus(n.change);
+    if !level.fits_in(most) {
+        return Err(n.at);
+    }
+    first_over(&n.right, None, until, level, most)
+}
+
+/// What is booked at every moment.
+#[derive(Clone, Debug, Default)]
+pub struct Timeline {
+    root: Link,
+}
+
+impl Timeline {
+    fn change(&self, at: WallMs, change: Amount) -> Timeline {
+        let (before, rest) = split(&self.root, at);
+        let (here, after) = split(&rest, WallMs(at.0.saturating_add(1)));
+        let change = here.map_or(Amount::ZERO, |n| n.change).plus(change);
+        let here = match change.is_zero() {
+            true => None,
+            false => node(at, change, None, None),
+        };
+        Timeline {
+            root: join(&join(&before, &here), &after),
+        }
+    }
+
+    /// With `amount` more from `from` to before `until`.
+    pub fn with(&self, from: WallMs, until: WallMs, amount: Amount) -> Timeline {
+        self.change(from, amount)
+            .change(until, Amount::ZERO.minus(amount))
+    }
+
+    /// Without what was put in by `with`.
+    pub fn without(&self, from: WallMs, until: WallMs, amount: Amount) -> Timeline {
+        self.with(from, until, Amount::ZERO.minus(amount))
+    }
+
+    /// What is booked at a moment.
+    pub fn level(&self, at: WallMs) -> Amount {
+        run(&self.root, None, Some(WallMs(at.0.saturating_add(1)))).sum
+    }
+
+    /// The most that is booked of each resource from `from` to before `until`.
+    pub fn peak(&self, from: WallMs, until: WallMs) -> Amount {
+        let level = self.level(from);
+        level.plus(run(&self.root, Some(from), Some(until)).peak)
+    }
+
+    /// The first moment from `from` to before `until` at which more than `most` is booked.
+    pub fn first_over(&self, from: WallMs, until: WallMs, most: Amount) -> Option<WallMs> {
+        let level = self.level(from);
+        if !level.fits_in(most) {
+            return Some(from);
+        }
+        first_over(&self.root, Some(from), Some(until), level, most).err()
+    }
+
+    /// The next moment after `at` at which the level changes.
+    pub fn next_change(&self, at: WallMs) -> Option<WallMs> {
+        let (mut link, mut found) = (&self.root, None);
+        while let Some(n) = link {
+            link = if n.at > at {
+                found = Some(n.at);
+                &n.left
+            } else {
+                &n.right
+            };
+        }
+        found
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.root.is_none()
+    }
+}
