Reservations and windows by API, durable before anybody is told; placement does not keep them yet

Need: book capacity and declare maintenance ahead. Change: an actor decides requests in order on a copy of the calendar and writes them in one transaction, conditional on a key that every change moves, so that two controllers never both give the last room away; answers that change nothing compare that key. Off without the switch, and 503 with Retry-After until every controller has it.

--- a/crates/model/src/records/keys.rs
+++ b/crates/model/src/records/keys.rs
@@ -20,5 +20,7 @@
 pub fn needs_key(job: &JobId, piece: u32) -> String {
     format!("needs/{job}/{piece}")
 }
+/// Every change of a reservation or a window changes this key too.
+pub const CALENDAR_KEY: &str = "calendar";
 pub const FORMAT_KEY: &str = "format";
 pub const LEADER_KEY: &str = "leader";
--- a/crates/model/src/records/mod.rs
+++ b/crates/model/src/records/mod.rs
@@ -13,7 +13,8 @@
 pub use format::{Capability, Format, FormatRecord, WIDE};
 pub use job::{JobRecord, JobSpec, JobState, Kind, Priority};
 pub use keys::{
-    FORMAT_KEY, LEADER_KEY, alloc_key, job_key, member_key, needs_key, part_key, quota_key,
+    CALENDAR_KEY, FORMAT_KEY, LEADER_KEY, alloc_key, job_key, member_key, needs_key, part_key,
+    quota_key,
 };
 pub use owner::PartRecord;
 pub use quota::{Grant, QuotaRecord};
--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -4,15 +4,23 @@
 
 use serde::Deserialize;
 use serde_json::Value;
+use snowshelf_calendar::entry::{Name, Reservation, Window};
 use snowshelf_model::ids::{JobId, Member, PartId, Team, Version, WallMs};
 use snowshelf_model::protocol::cloud::MachineType;
 use snowshelf_model::records::{
-    Alloc, Capability, FORMAT_KEY, Format, FormatRecord, JobRecord, JobState, LEADER_KEY,
-    PartRecord, QuotaRecord, WIDE, alloc_key, job_key, member_key, part_key, quota_key,
+    Alloc, CALENDAR_KEY, Capability, FORMAT_KEY, Format, FormatRecord, JobRecord, JobState,
+    LEADER_KEY, PartRecord, QuotaRecord, WIDE, alloc_key, job_key, member_key, part_key, quota_key,
 };
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 
+pub fn reservation_key(name: &Name) -> String {
+    format!("res/{name}")
+}
+pub fn window_key(name: &Name) -> String {
+    format!("win/{name}")
+}
+
 pub const TYPES_KEY: &str = "types";
 
 /// Final states are small; beyond this many the state service is asked again.
@@ -36,6 +44,9 @@
     Leader,
     Types,
     Format,
+    Reservation(Name),
+    Window(Name),
+    Calendar,
 }
 
 /// What is remembered of a job that has ended.
@@ -62,6 +73,10 @@
     pub agreed: Option<Versioned<FormatRecord>>,
     /// How records are to be written, as far as it is settled.
     pub format: Format,
+    /// What is reserved and closed ahead, and the version at which any of it last changed.
+    pub reservations: BTreeMap<Name, Versioned<Reservation>>,
+    pub windows: BTreeMap<Name, Versioned<Window>>,
+    pub calendar: Version,
     /// Counts the changes of jobs' records.
     pub job_changes: u64,
     finals: HashMap<JobId, Final>,
@@ -215,6 +230,18 @@
             set(&mut self.members, Member::new(member), key, value, version);
             return Some(Changed::Format);
         }
+        if let Some(name) = key.strip_prefix("res/").and_then(Name::parse) {
+            set(&mut self.reservations, name.clone(), key, value, version);
+            return Some(Changed::Reservation(name));
+        }
+        if let Some(name) = key.strip_prefix("win/").and_then(Name::parse) {
+            set(&mut self.windows, name.clone(), key, value, version);
+            return Some(Changed::Window(name));
+        }
+        if key == CALENDAR_KEY {
+            self.calendar = version;
+            return Some(Changed::Calendar);
+        }
         if key == FORMAT_KEY {
             // For good: what was written since cannot be read by an earlier version.
             if let Some(record) = value.and_then(|v| read::<FormatRecord>(key, v)) {
@@ -257,6 +284,8 @@
         known.extend(self.parts.keys().map(|p| part_key(*p)));
         known.extend(self.quotas.keys().map(quota_key));
         known.extend(self.members.keys().map(member_key));
+        known.extend(self.reservations.keys().map(reservation_key));
+        known.extend(self.windows.keys().map(window_key));
         known.extend(self.leader.iter().map(|_| LEADER_KEY.to_string()));
         known.sort_unstable();
         known
--- a/src/coordination/controller/answers.rs
+++ b/src/coordination/controller/answers.rs
@@ -187,6 +187,14 @@
                 let jobs = self.with_gateway(|gateway, env| gateway.cascaded(id, result, env));
                 self.changed(jobs.into_iter().map(Changed::Job).collect());
             }
+            (Tag::Bookings(id), Reply::Txn(result)) => {
+                let changed = self.with_bookings(|b, env| b.done(id, result, env));
+                self.changed(changed);
+            }
+            (Tag::BookingsTidy(key), Reply::Txn(result)) => {
+                let changed = self.with_bookings(|b, env| b.tidied(&key, result, env));
+                self.changed(changed);
+            }
             (Tag::Declare(key, value), Reply::Txn(result)) => {
                 let mut upgrade = std::mem::take(&mut self.upgrade);
                 upgrade.declared(&key, &value, result, &mut self.env());
@@ -227,6 +235,7 @@
     }
 
     pub(super) fn changed(&mut self, changed: Vec<Changed>) {
+        self.with_bookings(|bookings, env| bookings.changed(&changed, env));
         let mut jobs: BTreeSet<JobId> = BTreeSet::new();
         for change in changed {
             match change {
@@ -242,7 +251,7 @@
                             .collect();
                     }
                 }
-                Changed::Part(_) | Changed::Leader | Changed::Quota(_) | Changed::Format => {}
+                _ => {}
             }
         }
         if jobs.is_empty() {
--- a/src/coordination/controller/mod.rs
+++ b/src/coordination/controller/mod.rs
@@ -4,6 +4,7 @@
 mod regular;
 mod requests;
 
+use super::bookings::Bookings;
 use super::env::{Claim, CloudClient, Config, Env, Tag};
 use super::fleet::Fleet;
 use super::gateway::Gateway;
@@ -18,6 +19,7 @@
 use crate::operator::OperatorSettings;
 use crate::outbox::{Input, Outbox, Output};
 use crate::settings::Settings;
+use snowshelf_calendar::guard::Guard;
 use snowshelf_model::ids::{Member, Millis, PartId};
 use snowshelf_model::protocol::cloud::MachineType;
 use snowshelf_model::records::{Format, Terms};
@@ -54,6 +56,9 @@
     reader: Reader,
     shards: BTreeMap<PartId, Shard>,
     gateway: Gateway,
+    bookings: Bookings,
+    /// What placement and renting keep to of the calendar.
+    guard: Guard,
     fleet: Option<Fleet>,
     peers: Peers,
     hint_at: Millis,
@@ -97,6 +102,8 @@
             reader: Reader::default(),
             shards: BTreeMap::new(),
             gateway: Gateway::default(),
+            bookings: Bookings::default(),
+            guard: Guard::default(),
             fleet: None,
             peers: Peers::default(),
             hint_at: Millis(0),
@@ -135,6 +142,7 @@
             types: &self.types,
             terms: &self.terms,
             graph: &self.graph,
+            guard: &self.guard,
         }
     }
 
@@ -165,6 +173,13 @@
         result
     }
 
+    fn with_bookings<T>(&mut self, f: impl FnOnce(&mut Bookings, &mut Env) -> T) -> T {
+        let mut bookings = std::mem::take(&mut self.bookings);
+        let result = f(&mut bookings, &mut self.env());
+        self.bookings = bookings;
+        result
+    }
+
     fn with_shard(&mut self, part: PartId, f: impl FnOnce(&mut Shard, &mut Env)) {
         let Some(mut shard) = self.shards.remove(&part) else {
             return;
--- a/src/coordination/controller/regular.rs
+++ b/src/coordination/controller/regular.rs
@@ -30,6 +30,7 @@
         self.reader = reader;
         self.tick_terms();
         self.tick_graph();
+        self.tick_bookings();
         let up_homes = self.peers.up_homes(now, &self.cfg);
         let mut own = std::mem::take(&mut self.own);
         own.tick(&up_homes, &mut self.env());
@@ -87,6 +88,20 @@
         }
     }
 
+    fn tick_bookings(&mut self) {
+        let leads = self.fleet.is_some() && self.own.fresh(self.out.now);
+        let away = self.state_silent_ms() >= UNSERVED_MS;
+        let guard = self.with_bookings(|bookings, env| {
+            if away {
+                bookings.refuse_all(env);
+            }
+            bookings.tick(leads, env)
+        });
+        if let Some(guard) = guard {
+            self.guard = guard;
+        }
+    }
+
     /// Keeps to what may be written by now.
     fn tick_terms(&mut self) {
         let mut upgrade = std::mem::take(&mut self.upgrade);
--- a/src/coordination/controller/requests.rs
+++ b/src/coordination/controller/requests.rs
@@ -1,8 +1,10 @@
 //! Requests of users, workers and health checks, by path.
 
 use super::{Controller, UNSERVED_MS};
+use crate::coordination::bookings::{Asked, read_ask};
 use crate::coordination::env::ReadFor;
 use crate::outbox::{Request, Response};
+use serde_json::json;
 use snowshelf_model::ids::{ConnId, JobId, part_of};
 use snowshelf_model::protocol::user;
 use snowshelf_model::protocol::worker::{Report, redirect};
@@ -27,6 +29,12 @@
             }
             (_, "/ready" | "/checkin" | "/api/jobs") => self.wrong_method(conn),
             (method, path) => {
+                if self.cfg.ops.calendar.enabled
+                    && let Some(asked) = read_ask(method, &request.path, &request.body)
+                {
+                    self.asked(conn, asked);
+                    return;
+                }
                 let Some(rest) = path.strip_prefix("/api/jobs/") else {
                     let body = user::error("no such path");
                     self.out.respond(conn, Response::new(404, body));
@@ -52,6 +60,28 @@
         }
     }
 
+    /// A request to the calendar.
+    fn asked(&mut self, conn: ConnId, asked: Asked) {
+        let told = |status, why: &str| Response::new(status, user::error(why));
+        let response = match asked {
+            Asked::Ask(_) if self.state_silent_ms() >= UNSERVED_MS => {
+                Response::later(503, "the state service is away", 2)
+            }
+            Asked::Ask(ask) => {
+                self.with_bookings(|bookings, env| bookings.take(conn, ask, env));
+                return;
+            }
+            Asked::Malformed(why) => {
+                let body = json!({"error": why.to_string(), "field": why.field});
+                Response::new(400, body.to_string().into_bytes())
+            }
+            Asked::NoSuchPath => told(404, "no such path"),
+            Asked::NoSuchEntry => told(404, "no such entry"),
+            Asked::WrongMethod => told(405, "this path does not take that method"),
+        };
+        self.out.respond(conn, response);
+    }
+
     fn wrong_method(&mut self, conn: ConnId) {
         let body = user::error("this path does not take that method");
         self.out.respond(conn, Response::new(405, body));
--- a/src/coordination/env.rs
+++ b/src/coordination/env.rs
@@ -7,6 +7,7 @@
 use crate::outbox::{CallResult, Method, Outbox, Target};
 use crate::settings::Settings;
 use serde_json::Value;
+use snowshelf_calendar::guard::Guard;
 use snowshelf_model::ids::{CallId, ConnId, JobId, MachineId, Member, Millis, PartId, Token};
 use snowshelf_model::protocol::cloud::{MachineType, release_body};
 use snowshelf_model::protocol::state::Txn;
@@ -38,6 +39,10 @@
     Needed(Option<u64>, JobId),
     /// Cancellation of jobs that need a cancelled one.
     Cascade(u64),
+    /// Requests to the calendar, decided together.
+    Bookings(u64),
+    /// An entry that was over goes: its key.
+    BookingsTidy(String),
     GiveUp(PartId),
     PublishTypes(Vec<MachineType>),
     /// This controller's word on what it can, or all of theirs: the key and its value.
@@ -141,6 +146,7 @@
     pub types: &'a BTreeMap<String, MachineType>,
     pub terms: &'a Terms,
     pub graph: &'a Graph,
+    pub guard: &'a Guard,
 }
 
 impl Env<'_> {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,5 +1,6 @@
 //! Who decides what: ownership of parts, a part's scheduler, the users' gateway, the leader's fleet.
 
+pub mod bookings;
 pub mod controller;
 pub mod env;
 pub mod fleet;
