Placement and renting keep to the calendar: closed pools are emptied, reserved room is kept

Need: a long job must not start if it would run into a window, and reserved room must be there. Change: nothing starts that by its estimate times a margin would still be there; machines of a pool that closes are drained early enough to save, and returned; machines are rented ahead of a reservation and kept from other teams' tasks that would run into it. Ruled out: a budget by zone instead of machines, since room in splinters serves no task. The planning of rentals has a module of its own. Nothing changes where the calendar is empty.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet/mod.rs
@@ -1,8 +1,15 @@
 //! The leader's fleet: what is listed, what to rent, what to return.
 
+mod planning;
+mod reserving;
+
+pub use planning::{Have, Pool, Want, plan};
+
 use super::env::{CloudClient, CloudTag, Env};
 use super::placement::patience_s;
+use super::shard::keeping::stay_ms;
 use crate::outbox::{CallResult, Method, Outbox};
+use reserving::{reserved, shut};
 use snowshelf_model::ids::{MachineId, Millis, Token, seconds_to_ms};
 use snowshelf_model::protocol::cloud::{
     ListAnswer, Listed, ListedState, MachineType, RentAnswer, TypesAnswer, rent_body,
@@ -10,14 +17,6 @@
 use snowshelf_model::records::{JobState, Room};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A kind of machine in a place: what one rental request asks for.
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug)]
-pub struct Pool {
-    pub model: String,
-    pub zone: String,
-    pub spot: bool,
-}
-
 struct Rent {
     pool: Pool,
     number: u32,
@@ -55,140 +54,11 @@
     pub missing: BTreeMap<MachineId, Millis>,
 }
 
-/// A group of equal tasks that want room.
-#[derive(Clone, Debug)]
-pub struct Want {
-    pub room: Room,
-    pub tasks: u32,
-    pub types: Option<Vec<String>>,
-    pub zone: Option<String>,
-    pub spot: bool,
-    pub estimate_s: f64,
-    /// Work of tasks that the team's limit keeps waiting, in CPU seconds: no room is rented for
-    /// them, but they take their turn on what there is.
-    pub beyond: f64,
-    /// How long its tasks may wait for room without missing an aim.
-    pub patience_s: f64,
-}
-
-/// A machine is dear for a job if it costs more than this many times the cheapest one allowed.
-const DEAR: f64 = 1.5;
 /// Most machines that one request may rent.
 const MOST_A_CALL: u32 = 50;
 /// How often the leader notes which machines report.
 const HEARD_GAP_MS: u64 = 500;
 
-/// Room that is there or on its way.
-#[derive(Clone, Debug)]
-pub struct Have {
-    pub pool: Pool,
-    pub free: Room,
-}
-
-fn allows(want: &Want, pool: &Pool) -> bool {
-    want.types.as_ref().is_none_or(|t| t.contains(&pool.model))
-        && want.zone.as_ref().is_none_or(|z| *z == pool.zone)
-        && (want.spot || !pool.spot)
-}
-
-/// What a full machine costs for each task of `want`.
-fn unit_price(want: &Want, t: &MachineType, spot: bool) -> Option<f64> {
-    match want.room.count_in(t.room()) {
-        0 => None,
-        per => Some(t.price(spot) / f64::from(per)),
-    }
-}
-
-/// What to rent so that the wants fit: pure.
-pub fn plan(
-    wants: &[Want],
-    mut have: Vec<Have>,
-    types: &BTreeMap<String, MachineType>,
-    refused: &BTreeSet<Pool>,
-) -> BTreeMap<Pool, u32> {
-    let mut pools: Vec<Pool> = Vec::new();
-    for t in types.values() {
-        for zone in &t.zones {
-            for spot in [true, false] {
-                if spot && t.spot_price.is_none() {
-                    continue;
-                }
-                let pool = Pool {
-                    model: t.label.clone(),
-                    zone: zone.clone(),
-                    spot,
-                };
-                if !refused.contains(&pool) {
-                    pools.push(pool);
-                }
-            }
-        }
-    }
-    let mut rent: BTreeMap<Pool, u32> = BTreeMap::new();
-    // Those that may use fewer machines choose first.
-    let mut order: Vec<&Want> = wants.iter().collect();
-    order.sort_by_key(|w| (w.spot, w.types.is_none(), w.zone.is_none()));
-    // Jobs that may use spot machines leave the ordinary ones to those that may not.
-    have.sort_by_key(|h| !h.pool.spot);
-    // What fits nowhere at once and waits for room, in CPU seconds.
-    let mut backlog = 0.0;
-    for want in order {
-        let mut left = want.tasks;
-        let mut reach = 0.0;
-        for h in have.iter_mut().filter(|h| allows(want, &h.pool)) {
-            let n = want.room.count_in(h.free).min(left);
-            h.free.sub(want.room.times(f64::from(n)));
-            left -= n;
-            reach += types.get(&h.pool.model).map_or(0.0, |t| t.cpus);
-        }
-        let cheapest = types
-            .values()
-            .filter(|t| want.types.as_ref().is_none_or(|l| l.contains(&t.label)))
-            .filter_map(|t| unit_price(want, t, want.spot))
-            .fold(f64::INFINITY, f64::min);
-        while left > 0 {
-            let best = pools
-                .iter()
-                .filter(|p| allows(want, p))
-                .filter_map(|p| {
-                    let t = types.get(&p.model)?;
-                    let per = want.room.count_in(t.room());
-                    if per == 0 {
-                        return None;
-                    }
-                    // The last machine may stay partly empty: price what is used of it.
-                    let price = t.price(p.spot) / f64::from(per.min(left));
-                    Some((price, rent.get(p).copied().unwrap_or(0), p.clone(), t, per))
-                })
-                .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-            let Some((_, _, pool, t, per)) = best else {
-                break;
-            };
-            let dear = unit_price(want, t, pool.spot).is_none_or(|u| u > DEAR * cheapest);
-            if dear {
-                // Dear machines are rented only for what would wait too long for the others.
-                let work =
-                    backlog + want.beyond + f64::from(left) * want.room.cpus * want.estimate_s;
-                if work <= reach * want.patience_s {
-                    break;
-                }
-            }
-            let n = per.min(left);
-            let mut free = t.room();
-            free.sub(want.room.times(f64::from(n)));
-            reach += t.cpus;
-            have.push(Have {
-                pool: pool.clone(),
-                free,
-            });
-            left -= n;
-            *rent.entry(pool).or_default() += 1;
-        }
-        backlog += want.beyond + f64::from(left) * want.room.cpus * want.estimate_s;
-    }
-    rent
-}
-
 impl Fleet {
     pub fn new(token: Token, rps: f64, now: Millis) -> Fleet {
         Fleet {
@@ -408,6 +278,7 @@
     fn rent(&mut self, env: &mut Env) {
         let now = env.now();
         let mut wants = Vec::new();
+        let mut demand = Vec::new();
         let factor = env.cfg.ops.capacity_factor;
         let mut teams: BTreeMap<&str, Room> = BTreeMap::new();
         for limits in &env.cfg.settings.deployment.teams {
@@ -438,8 +309,16 @@
                 tasks = tasks.min(spec.room.count_in(*left));
                 left.sub(spec.room.times(f64::from(tasks)));
             }
-            let estimate_s = super::placement::estimate(spec, env.cfg.ops.default_run_s);
+            let estimate_s =
+                crate::coordination::placement::estimate(spec, env.cfg.ops.default_run_s);
             if whole > 0 {
+                let cpus = f64::from(whole) * spec.room.cpus;
+                demand.push((
+                    spec.team.clone(),
+                    spec.zone.clone(),
+                    spec.types.clone(),
+                    cpus,
+                ));
                 wants.push(Want {
                     room: spec.room,
                     tasks: (f64::from(tasks) * factor).ceil() as u32,
@@ -450,9 +329,11 @@
                     estimate_s,
                     patience_s: env.cfg.ops.dear_patience
                         * patience_s(spec, &env.cfg.settings.deployment.objectives, waited_s),
+                    shut: shut(stay_ms(spec, env), env),
                 });
             }
         }
+        wants.extend(reserved(demand, env));
         let mut have = Vec::new();
         let mut add = |pool: Pool| {
             if let Some(t) = env.types.get(&pool.model) {
--- /dev/null
+++ b/src/coordination/shard/keeping.rs
@@ -0,0 +1,183 @@
+//! What a part keeps of the calendar: pools that close are emptied, and room that is reserved is kept
+//! from tasks of other teams that would still be there.
+
+use super::Shard;
+use super::machine::Machine;
+use crate::coordination::env::Env;
+use crate::coordination::placement::{estimate, slowest_fetch};
+use snowshelf_calendar::amount::{Amount, WHOLE};
+use snowshelf_calendar::guard::Hold;
+use snowshelf_model::ids::{MachineId, Team, WallMs, seconds_to_ms};
+use snowshelf_model::records::{JobSpec, Kind};
+use std::collections::BTreeMap;
+
+/// What a machine is kept for.
+pub(super) struct Kept {
+    team: Team,
+    from: WallMs,
+    until: WallMs,
+}
+
+/// Longer than a worker takes to hear a command and to say that it was carried out, beside two reports.
+const HEAR_MS: u64 = 1_000;
+
+/// For how long a task is taken to be on its machine if it starts now; none: until it is stopped.
+pub fn stay_ms(spec: &JobSpec, env: &Env) -> Option<u64> {
+    if spec.kind == Kind::Standing {
+        return None;
+    }
+    let run = env.cfg.ops.calendar.margin * estimate(spec, env.cfg.ops.default_run_s);
+    let fetch = spec.pull_gb / slowest_fetch(env.types.values());
+    Some(seconds_to_ms(run + fetch) + 2 * env.cfg.settings.report_ms())
+}
+
+impl Shard {
+    /// Whether the calendar keeps a job from starting on a machine now.
+    pub(super) fn kept_from(
+        &self,
+        spec: &JobSpec,
+        name: &MachineId,
+        m: &Machine,
+        env: &Env,
+    ) -> bool {
+        if env.guard.is_empty() {
+            return false;
+        }
+        let Some(pool) = &m.pool else {
+            return false;
+        };
+        let now = WallMs(env.out.wall_ms);
+        let stay = stay_ms(spec, env);
+        if env.guard.forbids(pool, stay, now).is_some() {
+            return true;
+        }
+        self.kept.get(name).is_some_and(|kept| {
+            let end = now.0.saturating_add(stay.unwrap_or(u64::MAX));
+            kept.team != spec.team
+                && now < kept.until
+                && end.saturating_add(env.guard.skew_ms) > kept.from.0
+        })
+    }
+
+    /// Whether a machine is kept for a reservation that is open, or for which it has been rented.
+    pub(super) fn kept_ready(&self, name: &MachineId, ready_ms: u64, env: &Env) -> bool {
+        let now = env.out.wall_ms;
+        let kept = self.kept.get(name);
+        kept.is_some_and(|k| now < k.until.0 && now.saturating_add(ready_ms) >= k.from.0)
+    }
+
+    /// Chooses anew which machines are kept for which reservation: of each, this part keeps its
+    /// share. Machines' names decide before a reservation opens, so that the choice lasts; from then on
+    /// what is free there, or its team's already.
+    pub(super) fn keep(&mut self, env: &Env) {
+        self.kept.clear();
+        if env.guard.holds.is_empty() {
+            return;
+        }
+        let now = WallMs(env.out.wall_ms);
+        let longest = self
+            .jobs
+            .values()
+            .filter(|j| j.waits())
+            .filter_map(|j| j.spec())
+            .map(|spec| stay_ms(spec, env).unwrap_or(u64::MAX))
+            .max();
+        // What nobody who waits would run into need not be kept yet, but for machines rented ahead.
+        let ahead = longest.unwrap_or(0).max(rented_ahead_ms(env));
+        let soon = now
+            .0
+            .saturating_add(ahead)
+            .saturating_add(env.guard.skew_ms);
+        let mut kept = BTreeMap::new();
+        for hold in env.guard.holds.iter() {
+            if hold.until <= now || hold.from.0 > soon {
+                continue;
+            }
+            let parts = i64::from(env.cfg.parts.max(1));
+            let share = hold.amount.piece(0, (WHOLE + parts - 1) / parts);
+            let open = hold.from <= now;
+            let mut choice: Vec<(Amount, &MachineId)> = self
+                .machines
+                .iter()
+                .filter(|(name, m)| !kept.contains_key(*name) && self.keeps(hold, m))
+                .filter_map(|(name, m)| {
+                    let whole = env.types.get(&m.model)?.room();
+                    let mut room = whole;
+                    if open {
+                        room.sub(m.used);
+                        let theirs = self.jobs_on(name).filter_map(|(_, j)| {
+                            let spec = j.spec().filter(|s| s.team == hold.team)?;
+                            let tasks = j.view.started.get(name)?.len();
+                            Some(spec.room.times(f64::from(tasks)))
+                        });
+                        theirs.for_each(|r| room.add(r));
+                    }
+                    Some((Amount::of(room), name))
+                })
+                .collect();
+            if open {
+                choice.sort_by(|a, b| b.0.cpus.cmp(&a.0.cpus).then(a.1.cmp(b.1)));
+            }
+            let mut sum = Amount::ZERO;
+            for (room, name) in choice {
+                if share.fits_in(sum) {
+                    break;
+                }
+                sum = sum.plus(room.max(Amount::ZERO));
+                let keep = Kept {
+                    team: hold.team.clone(),
+                    from: hold.from,
+                    until: hold.until,
+                };
+                kept.insert(name.clone(), keep);
+            }
+        }
+        self.kept = kept;
+    }
+
+    fn keeps(&self, hold: &Hold, m: &Machine) -> bool {
+        m.pool.as_ref() == Some(&hold.pool)
+            && (hold.spot || !m.spot)
+            && !m.draining
+            && !m.returning
+            && m.notice_until.is_none()
+    }
+
+    /// Empties machines whose pool closes as soon as a task can be stopped in time, saving what it
+    /// saves; they are returned once nothing is on them.
+    pub(super) fn empty_closed(&mut self, env: &Env) {
+        if env.guard.closings.is_empty() {
+            return;
+        }
+        let now = WallMs(env.out.wall_ms);
+        let report_ms = env.cfg.settings.report_ms();
+        let jobs = &self.jobs;
+        for (name, m) in self.machines.iter_mut().filter(|(_, m)| !m.draining) {
+            let Some(pool) = &m.pool else {
+                continue;
+            };
+            let saves = m
+                .listed
+                .iter()
+                .filter_map(|t| jobs.get(&t.task.job)?.spec());
+            let save_s = saves.map(|s| s.save_s).fold(0.0, f64::max);
+            let ahead = 2 * report_ms + HEAR_MS + seconds_to_ms(save_s);
+            if let Some(closing) = env.guard.empties(pool, now, ahead) {
+                tracing::info!(machine = %name, part = %self.part, window = %closing.window,
+                    "drained for maintenance");
+                m.draining = true;
+                self.dirty = true;
+            }
+        }
+    }
+}
+
+/// How long before a reservation opens its machines are rented: what the slowest type takes to be up
+/// and to fetch an image.
+pub fn rented_ahead_ms(env: &Env) -> u64 {
+    let ready_s = env.types.values().map(|t| t.ready_s).fold(0.0, f64::max);
+    seconds_to_ms(2.0 * ready_s + FETCH_S)
+}
+
+/// Time allowed for an image to be fetched before a reservation opens.
+const FETCH_S: f64 = 30.0;
--- a/src/coordination/shard/machine.rs
+++ b/src/coordination/shard/machine.rs
@@ -2,6 +2,7 @@
 
 use crate::coordination::images::Images;
 use crate::coordination::placement::Image;
+use snowshelf_calendar::calendar::Pool;
 use snowshelf_model::ids::{Attempt, ConnId, JobId, Millis, Seq, Session};
 use snowshelf_model::protocol::worker::{TaskRef, TaskState, Why};
 use snowshelf_model::records::{JobSpec, Room};
@@ -25,6 +26,8 @@
 pub(super) struct Machine {
     pub model: String,
     pub zone: usize,
+    /// Its zone and type, once it has said them.
+    pub pool: Option<Pool>,
     pub spot: bool,
     pub session: Session,
     pub seq: Seq,
@@ -91,6 +94,7 @@
         Machine {
             model: String::new(),
             zone: usize::MAX,
+            pool: None,
             spot: true,
             session: Session(0),
             seq: Seq(0),
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -5,6 +5,7 @@
 
 mod claims;
 mod job;
+pub mod keeping;
 mod machine;
 mod placing;
 mod quota;
@@ -37,6 +38,8 @@
     on: BTreeMap<MachineId, BTreeSet<JobId>>,
     /// Numbers for the images of jobs seen.
     images: HashMap<String, u32>,
+    /// Machines kept for reservations.
+    kept: BTreeMap<MachineId, keeping::Kept>,
     gone: HashSet<MachineId>,
     gone_order: VecDeque<MachineId>,
     next_step: u64,
@@ -81,6 +84,7 @@
             machines: BTreeMap::new(),
             on: BTreeMap::new(),
             images: HashMap::new(),
+            kept: BTreeMap::new(),
             gone: HashSet::new(),
             gone_order: VecDeque::new(),
             next_step: 0,
--- a/src/coordination/shard/placing.rs
+++ b/src/coordination/shard/placing.rs
@@ -101,7 +101,9 @@
     fn takes(&self, spec: &JobSpec, room: &Open, env: &Env) -> bool {
         self.machines.get(&room.name).is_some_and(|m| {
             let zone = env.cfg.settings.deployment.zones.get(m.zone);
-            m.error_streak.is_empty() && m.allowed_for(spec, zone)
+            m.error_streak.is_empty()
+                && m.allowed_for(spec, zone)
+                && !self.kept_from(spec, &room.name, m, env)
         })
     }
 
@@ -143,7 +145,9 @@
         let zone = env.cfg.settings.deployment.zones.get(m.zone);
         let spec = job.and_then(|j| j.spec());
         let allowed = spec.is_some_and(|spec| {
-            m.allowed_for(spec, zone) && (!spec.zones_bound() || zone.is_some())
+            m.allowed_for(spec, zone)
+                && (!spec.zones_bound() || zone.is_some())
+                && !self.kept_from(spec, &open.name, m, env)
         }) && (m.error_streak.is_empty()
             || job.is_some_and(|j| !j.failed_on.contains(&open.name)));
         let cap = if !allowed {
@@ -200,6 +204,7 @@
         self.dirty = false;
         self.placed_at = now;
         let mut rooms = self.rooms(env);
+        self.keep(env);
         let mut load = Load::default();
         for m in self.machines.values() {
             if let Some(kind) = env.types.get(&m.model) {
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -4,6 +4,7 @@
 use super::{Shard, requeue};
 use crate::coordination::env::Env;
 use crate::outbox::Response;
+use snowshelf_calendar::calendar::Pool;
 use snowshelf_model::ids::{Attempt, ConnId, JobId, MachineId, Millis, TaskNo, seconds_to_ms};
 use snowshelf_model::protocol::worker::{Answer, Command, Report, TaskRef, TaskState, Why};
 use snowshelf_model::records::{Kind, Step, StepKind};
@@ -64,6 +65,9 @@
             tracing::info!(machine = %name, session = report.session.0, "new session: its tasks are gone");
             machine.images.coming.clear();
         }
+        if machine.pool.is_none() {
+            machine.pool = Some(Pool::new(&report.zone, &report.model));
+        }
         machine.model = report.model;
         machine.zone = zone;
         machine.spot = report.spot;
--- a/src/coordination/shard/returns.rs
+++ b/src/coordination/shard/returns.rs
@@ -1,5 +1,6 @@
 //! Machines that are given back: idle, silent, noticed or faulty ones.
 
+use super::keeping::rented_ahead_ms;
 use super::{Shard, requeue};
 use crate::coordination::env::{CloudTag, Env};
 use crate::outbox::Response;
@@ -11,7 +12,9 @@
 
 impl Shard {
     pub(super) fn tend_machines(&mut self, missing: &BTreeSet<MachineId>, env: &mut Env) {
+        self.empty_closed(env);
         let now = env.now();
+        let ahead_ms = rented_ahead_ms(env);
         let lease_ms = env.cfg.settings.lease_ms();
         let report_ms = env.cfg.settings.report_ms();
         let idle_ms = seconds_to_ms(env.cfg.ops.idle_release_s);
@@ -19,7 +22,7 @@
         let mut back: Vec<MachineId> = Vec::new();
         let names: Vec<MachineId> = self.machines.keys().cloned().collect();
         for name in names {
-            let busy = self.holds_tasks(&name);
+            let busy = self.holds_tasks(&name) || self.kept_ready(&name, ahead_ms, env);
             let Some(m) = self.machines.get_mut(&name) else {
                 continue;
             };
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -38,6 +38,7 @@
 
 fn want(tasks: u32, spot: bool) -> Want {
     Want {
+        shut: Vec::new(),
         room: Room {
             cpus: 2.0,
             gpus: 0.0,
