Parts share reservations by the machines that they have, and claim for them

Cause: in the stand-in world equal shares left reserved room in parts whose team's jobs waited in a part without machines; it stood idle while the job waited for good. Change: owners tell each other their machines by zone and type while something is reserved; parts take a reservation up one after the other; kept room is not counted as free for others, draws its team's jobs, and claims them at once. Result: under the other team's flood in the same zone the job starts within 5 s; without the reservation not within 20 s (stand-in world). In 60 storms with bookings: nothing overbooked, nothing lost, no start in a closed zone.

--- a/crates/calendar/src/amount.rs
+++ b/crates/calendar/src/amount.rs
@@ -75,6 +75,9 @@
     pub fn max(self, other: Amount) -> Amount {
         self.each(other, i64::max)
     }
+    pub fn min(self, other: Amount) -> Amount {
+        self.each(other, i64::min)
+    }
     pub fn times(self, n: i64) -> Amount {
         self.each(Amount::ZERO, |a, _| a.saturating_mul(n))
     }
--- a/crates/calendar/src/calendar.rs
+++ b/crates/calendar/src/calendar.rs
@@ -148,7 +148,9 @@
             self.close(&old, false);
         }
         if let Some(window) = new {
-            let times = Arc::new(window.occurrences(now, self.planned, MOST_TIMES));
+            // Guards against a reservation that began a moment ago, in a window that is just over.
+            let since = WallMs(now.0.saturating_sub(2 * ARRIVAL_MS));
+            let times = Arc::new(window.occurrences(since, self.planned, MOST_TIMES));
             let closing = Closing { window, times };
             self.close(&closing, true);
             self.windows.insert(name.clone(), closing);
@@ -184,7 +186,7 @@
         let bounds = &self.bounds;
         let limit = bounds.limits.get(&wanted.team);
         let limit = *limit.ok_or(Refusal::UnknownTeam)?;
-        if wanted.from.0.saturating_add(ARRIVAL_MS) < now.0 {
+        if wanted.from.0.saturating_add(ARRIVAL_MS) < now.0 || wanted.until <= now {
             return Err(Refusal::Past);
         }
         if wanted.until > self.planned {
--- a/crates/model/src/protocol/peer.rs
+++ b/crates/model/src/protocol/peer.rs
@@ -37,4 +37,32 @@
     pub heard: Vec<String>,
     #[prost(double, tag = "5")]
     pub capacity_cpus: f64,
+    /// Its machines by zone and type; said only while something is reserved.
+    #[prost(message, repeated, tag = "6")]
+    pub pools: Vec<PoolHint>,
+    /// Free room that is kept for teams, not counted in `free_cpus`.
+    #[prost(message, repeated, tag = "7")]
+    pub kept: Vec<KeptHint>,
+}
+
+/// How many machines of a zone and type a part has.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct PoolHint {
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    #[prost(string, tag = "2")]
+    pub model: String,
+    #[prost(uint32, tag = "3")]
+    pub ordinary: u32,
+    #[prost(uint32, tag = "4")]
+    pub spot: u32,
+}
+
+/// Free CPUs of a part that are kept for a team's reservations.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct KeptHint {
+    #[prost(string, tag = "1")]
+    pub team: String,
+    #[prost(double, tag = "2")]
+    pub free_cpus: f64,
 }
--- a/src/coordination/controller/regular.rs
+++ b/src/coordination/controller/regular.rs
@@ -5,12 +5,14 @@
 use crate::coordination::env::{Claim, Tag};
 use crate::coordination::graph::Graph;
 use crate::coordination::placement::{estimate, slowest_fetch};
+use crate::coordination::shard::Shard;
 use crate::coordination::upgrade::terms;
 use crate::outbox::Output;
 use snowshelf_model::ids::{JobId, PartId, Team, WallMs, seconds_to_ms};
-use snowshelf_model::protocol::peer::{Hint, PartHint};
+use snowshelf_model::protocol::peer::{Hint, KeptHint, PartHint, PoolHint};
 use snowshelf_model::records::{JobSpec, job_key};
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
 const HINT_MS: u64 = 400;
 /// Machines heard within this time are told of to the leader.
@@ -41,6 +43,10 @@
         let mut missing = self.peers.missing(now);
         missing.extend(self.fleet.iter().flat_map(|f| f.missing.keys().cloned()));
         let answers = self.may_answer();
+        if !self.guard.holds.is_empty() && now.since(self.pools_at) >= HINT_MS {
+            self.pools_at = now;
+            self.share_pools();
+        }
         let parts: Vec<PartId> = self.shards.keys().copied().collect();
         for part in parts {
             self.with_shard(part, |shard, env| {
@@ -52,9 +58,15 @@
         }
         let mut rooms = self.peers.rooms(now);
         rooms.extend(self.shards.values().map(|s| (s.part, s.room())));
+        let mut kept = self.peers.kept(now);
+        for s in self.shards.values() {
+            let own = s.kept_cpus.iter();
+            kept.extend(own.map(|(team, cpus)| ((s.part, team.clone()), *cpus)));
+        }
         let away = self.state_silent_ms() >= UNSERVED_MS;
         let mut gateway = std::mem::take(&mut self.gateway);
         gateway.rooms = rooms;
+        gateway.kept = kept;
         gateway.flush_polls(&mut self.env());
         gateway.flush_pieces(&mut self.env());
         if away {
@@ -88,6 +100,19 @@
         }
     }
 
+    /// Tells the parts owned here what machines the others have: a reservation is shared by that.
+    fn share_pools(&mut self) {
+        let mut pools = self.peers.pools(self.out.now);
+        for shard in self.shards.values() {
+            let own = shard.pools().into_iter();
+            pools.extend(own.map(|(pool, count)| ((shard.part, pool), count)));
+        }
+        let pools = Rc::new(pools);
+        for shard in self.shards.values_mut() {
+            shard.elsewhere = pools.clone();
+        }
+    }
+
     fn tick_bookings(&mut self) {
         let leads = self.fleet.is_some() && self.own.fresh(self.out.now);
         let away = self.state_silent_ms() >= UNSERVED_MS;
@@ -206,6 +231,19 @@
                 free_cpus: shard.free_cpus,
                 capacity_cpus: shard.room().capacity,
                 waiting_cpus: shard.waiting_cpus,
+                pools: if self.guard.holds.is_empty() {
+                    Vec::new()
+                } else {
+                    pool_hints(shard)
+                },
+                kept: shard
+                    .kept_cpus
+                    .iter()
+                    .map(|(team, cpus)| KeptHint {
+                        team: team.as_str().to_string(),
+                        free_cpus: *cpus,
+                    })
+                    .collect(),
                 heard: shard
                     .heard(now, HEARD_MS)
                     .map(|m| m.as_str().to_string())
@@ -234,3 +272,15 @@
         }
     }
 }
+
+fn pool_hints(shard: &Shard) -> Vec<PoolHint> {
+    let pools = shard.pools().into_iter();
+    pools
+        .map(|(pool, (ordinary, spot))| PoolHint {
+            zone: pool.zone.to_string(),
+            model: pool.model.to_string(),
+            ordinary,
+            spot,
+        })
+        .collect()
+}
--- a/src/coordination/gateway/accepting.rs
+++ b/src/coordination/gateway/accepting.rs
@@ -57,6 +57,12 @@
         while let Some(accept) = self.queue.front() {
             let mut shares = {
                 let fetch_s = accept.spec.pull_gb / slowest_fetch(env.types.values());
+                let mut rooms = rooms.clone();
+                for ((part, team), cpus) in &self.kept {
+                    if *team == accept.spec.team {
+                        rooms.entry(*part).or_default().free += cpus;
+                    }
+                }
                 split(&accept.job, &accept.spec, fetch_s, env.cfg.parts, &rooms)
             };
             if shares.len() + 1 > env.terms.txn_ops {
--- a/src/coordination/gateway/mod.rs
+++ b/src/coordination/gateway/mod.rs
@@ -11,7 +11,7 @@
 
 use super::env::ReadFor;
 use super::peers::PartRoom;
-use snowshelf_model::ids::{ConnId, JobId, Millis, PartId};
+use snowshelf_model::ids::{ConnId, JobId, Millis, PartId, Team};
 use snowshelf_model::records::JobSpec;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -70,6 +70,8 @@
     next: u64,
     /// Room by part, as far as known.
     pub rooms: BTreeMap<PartId, PartRoom>,
+    /// Free room that parts keep for teams, beside that.
+    pub kept: BTreeMap<(PartId, Team), f64>,
     /// CPUs lately given to parts, which these do not tell of yet.
     given: VecDeque<(Millis, PartId, f64)>,
 }
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -1,6 +1,7 @@
 //! What the other controllers say. Hints only: no rule depends on them.
 
 use super::env::Config;
+use snowshelf_calendar::calendar::Pool;
 use snowshelf_model::ids::{MachineId, Member, Millis, PartId, Team};
 use snowshelf_model::protocol::peer::Hint;
 use std::collections::{BTreeMap, BTreeSet};
@@ -94,6 +95,32 @@
             .collect()
     }
 
+    /// The others' machines by pool, as far as they say.
+    pub fn pools(&self, now: Millis) -> BTreeMap<(PartId, Pool), (u32, u32)> {
+        let parts = self.fresh(now).flat_map(|(_, h)| h.parts.iter());
+        parts
+            .flat_map(|p| {
+                p.pools.iter().map(|pool| {
+                    let key = (PartId(p.part), Pool::new(&pool.zone, &pool.model));
+                    (key, (pool.ordinary, pool.spot))
+                })
+            })
+            .collect()
+    }
+
+    /// Free room that others keep for teams, by part.
+    pub fn kept(&self, now: Millis) -> BTreeMap<(PartId, Team), f64> {
+        let parts = self.fresh(now).flat_map(|(_, h)| h.parts.iter());
+        parts
+            .flat_map(|p| {
+                let part = PartId(p.part);
+                p.kept
+                    .iter()
+                    .map(move |k| ((part, Team::new(&k.team)), k.free_cpus))
+            })
+            .collect()
+    }
+
     pub fn missing(&self, now: Millis) -> BTreeSet<MachineId> {
         self.fresh(now)
             .flat_map(|(_, h)| h.missing.iter().map(|m| MachineId::new(m)))
--- a/src/coordination/shard/claims.rs
+++ b/src/coordination/shard/claims.rs
@@ -1,23 +1,45 @@
 //! An idle part takes over tasks that wait in another one.
 
 use super::Shard;
+use super::placing::Open;
 use crate::bookkeeping::store::{Class, TxnResult};
 use crate::coordination::env::{Env, Tag};
-use snowshelf_model::ids::{JobId, PartId, Version, WallMs};
+use snowshelf_model::ids::{JobId, PartId, Team, Version, WallMs};
 use snowshelf_model::protocol::state::{Change, Txn};
 use snowshelf_model::records::{JobState, alloc_key, job_key, part_key};
+use std::collections::BTreeMap;
 
 /// A job younger than this is left to the part that holds it.
 const CLAIM_AGE_MS: u64 = 1_500;
 
+/// The same where room is kept for its team.
+const KEPT_AGE_MS: u64 = 250;
+
 impl Shard {
+    /// Takes the machines kept for teams by now out of the rooms, by team.
+    fn take_kept(&self, rooms: &mut Vec<Open>, env: &Env) -> BTreeMap<Team, Vec<Open>> {
+        let mut kept: BTreeMap<Team, Vec<Open>> = BTreeMap::new();
+        for team in self.kept_cpus.keys() {
+            let theirs = rooms.extract_if(.., |r| self.kept_for(&r.name, team, env));
+            kept.insert(team.clone(), theirs.collect());
+        }
+        kept
+    }
+
     /// An idle part takes over tasks that wait in another part, in one conditional transaction.
     pub(super) fn claim(&mut self, env: &mut Env) {
         let now = env.now();
-        if self.claiming || self.waiting_here || self.free_cpus <= 0.0 || now < self.claim_at {
+        if self.claiming || now < self.claim_at {
             return;
         }
-        let rooms = self.rooms(env);
+        // Room that is kept for a team is of no use to what waits here.
+        let kept = self.kept_cpus.values().any(|cpus| *cpus > 0.0);
+        let idle = !self.waiting_here && self.free_cpus > 0.0;
+        if !idle && !kept {
+            return;
+        }
+        let mut rooms = self.rooms(env);
+        let kept_rooms = self.take_kept(&mut rooms, env);
         let mut best: Option<(WallMs, PartId, JobId, u32)> = None;
         for ((part, id), alloc) in &env.mirror.allocs {
             if *part == self.part || alloc.value.waiting.is_empty() {
@@ -29,11 +51,17 @@
             let (Some(spec), JobState::Open) = (&record.value.spec, record.value.state) else {
                 continue;
             };
+            let ours = kept_rooms.get(&spec.team);
+            let age_ms = if ours.is_some() {
+                KEPT_AGE_MS
+            } else {
+                CLAIM_AGE_MS
+            };
             // A job whose zones are bound moves whole, before anything of it is started; a young
             // one may be about to start there.
             if !env.graph.is_ready(id, &record.value)
                 || (spec.zones_bound() && !alloc.value.started.is_empty())
-                || env.out.wall_ms < record.value.submitted.0 + CLAIM_AGE_MS
+                || env.out.wall_ms < record.value.submitted.0 + age_ms
                 || self
                     .jobs
                     .get(id)
@@ -45,7 +73,9 @@
             if !older {
                 continue;
             }
-            let fit = self.fit(spec, &rooms, env);
+            let everywhere = if idle { self.fit(spec, &rooms, env) } else { 0 };
+            let fit = ours.map_or(0, |ours| self.fit(spec, ours, env));
+            let fit = fit.saturating_add(everywhere);
             if fit > 0 {
                 let waiting = alloc.value.waiting.len();
                 let count = if spec.zones_bound() {
--- a/src/coordination/shard/keeping.rs
+++ b/src/coordination/shard/keeping.rs
@@ -3,11 +3,13 @@
 
 use super::Shard;
 use super::machine::Machine;
+use super::placing::Open;
 use crate::coordination::env::Env;
 use crate::coordination::placement::{estimate, slowest_fetch};
-use snowshelf_calendar::amount::{Amount, WHOLE};
+use snowshelf_calendar::amount::Amount;
+use snowshelf_calendar::calendar::Pool;
 use snowshelf_calendar::guard::Hold;
-use snowshelf_model::ids::{MachineId, Team, WallMs, seconds_to_ms};
+use snowshelf_model::ids::{MachineId, PartId, Team, WallMs, part_of, seconds_to_ms};
 use snowshelf_model::records::{JobSpec, Kind};
 use std::collections::BTreeMap;
 
@@ -93,8 +95,10 @@
             if hold.until <= now || hold.from.0 > soon {
                 continue;
             }
-            let parts = i64::from(env.cfg.parts.max(1));
-            let share = hold.amount.piece(0, (WHOLE + parts - 1) / parts);
+            let share = self.share_of(hold, env);
+            if share.is_zero() {
+                continue;
+            }
             let open = hold.from <= now;
             let mut choice: Vec<(Amount, &MachineId)> = self
                 .machines
@@ -135,6 +139,77 @@
         self.kept = kept;
     }
 
+    /// What of a reservation this part keeps: parts take it up one after the other, each as much as it
+    /// has, beginning with one that the reservation's name tells, so that small ones are not
+    /// splintered and many are spread.
+    fn share_of(&self, hold: &Hold, env: &Env) -> Amount {
+        let parts = env.cfg.parts.max(1);
+        let first = part_of(hold.reservation.as_str(), parts).0;
+        let Some(kind) = env.types.get(&*hold.pool.model) else {
+            return Amount::ZERO;
+        };
+        let whole = Amount::of(kind.room());
+        let mut left = hold.amount;
+        for part in (0..parts).map(|i| PartId((first + i) % parts)) {
+            let there = match part == self.part {
+                true => self
+                    .machines
+                    .values()
+                    .filter(|m| self.keeps(hold, m))
+                    .count() as u32,
+                false => {
+                    let (ordinary, spot) = self
+                        .elsewhere
+                        .get(&(part, hold.pool.clone()))
+                        .copied()
+                        .unwrap_or_default();
+                    ordinary + if hold.spot { spot } else { 0 }
+                }
+            };
+            let has = whole.times(i64::from(there));
+            if part == self.part {
+                return left.min(has);
+            }
+            left = left.minus(has).max(Amount::ZERO);
+        }
+        Amount::ZERO
+    }
+
+    /// This part's machines by pool, ordinary ones and spot ones.
+    pub fn pools(&self) -> BTreeMap<Pool, (u32, u32)> {
+        let mut pools: BTreeMap<Pool, (u32, u32)> = BTreeMap::new();
+        for m in self
+            .machines
+            .values()
+            .filter(|m| !m.draining && !m.returning)
+        {
+            if let Some(pool) = &m.pool {
+                let count = pools.entry(pool.clone()).or_default();
+                *(if m.spot { &mut count.1 } else { &mut count.0 }) += 1;
+            }
+        }
+        pools
+    }
+
+    /// Whether a machine is kept for this team, and by now.
+    pub(super) fn kept_for(&self, name: &MachineId, team: &Team, env: &Env) -> bool {
+        let kept = self.kept.get(name);
+        kept.is_some_and(|k| k.team == *team && k.from.0 <= env.out.wall_ms)
+    }
+
+    /// What of the free room is kept for teams by now.
+    pub(super) fn kept_room(&self, rooms: &[Open], env: &Env) -> BTreeMap<Team, f64> {
+        let mut kept: BTreeMap<Team, f64> = BTreeMap::new();
+        for room in rooms.iter() {
+            if let Some(k) = self.kept.get(&room.name)
+                && k.from.0 <= env.out.wall_ms
+            {
+                *kept.entry(k.team.clone()).or_default() += room.free.cpus.max(0.0);
+            }
+        }
+        kept
+    }
+
     fn keeps(&self, hold: &Hold, m: &Machine) -> bool {
         m.pool.as_ref() == Some(&hold.pool)
             && (hold.spot || !m.spot)
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -17,10 +17,12 @@
 use super::peers::PartRoom;
 use job::{NumberedStep, ShardJob};
 use machine::Machine;
+use snowshelf_calendar::calendar::Pool;
 use snowshelf_model::ids::{Attempt, JobId, MachineId, Millis, PartId, TaskNo, Team, Token};
 use snowshelf_model::protocol::worker::TaskState;
 use snowshelf_model::records::{Alloc, Grant, QuotaRecord, Step, StepKind};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::rc::Rc;
 use writing::Flight;
 
 /// How often machines and grants are looked over.
@@ -40,6 +42,10 @@
     images: HashMap<String, u32>,
     /// Machines kept for reservations.
     kept: BTreeMap<MachineId, keeping::Kept>,
+    /// The other parts' machines by pool, ordinary and spot ones, while something is reserved.
+    pub elsewhere: Rc<BTreeMap<(PartId, Pool), (u32, u32)>>,
+    /// Free room kept for teams, as of the last pass.
+    pub kept_cpus: BTreeMap<Team, f64>,
     gone: HashSet<MachineId>,
     gone_order: VecDeque<MachineId>,
     next_step: u64,
@@ -85,6 +91,8 @@
             on: BTreeMap::new(),
             images: HashMap::new(),
             kept: BTreeMap::new(),
+            elsewhere: Rc::default(),
+            kept_cpus: BTreeMap::new(),
             gone: HashSet::new(),
             gone_order: VecDeque::new(),
             next_step: 0,
--- a/src/coordination/shard/placing.rs
+++ b/src/coordination/shard/placing.rs
@@ -15,7 +15,7 @@
 
 /// A machine that may take tasks, and what of it is free.
 pub(super) struct Open {
-    name: MachineId,
+    pub name: MachineId,
     pub free: Room,
     /// What it would have free without any task.
     whole: Room,
@@ -233,7 +233,9 @@
             }
         }
         self.dirty = false;
-        self.free_cpus = rooms.iter().map(|r| r.free.cpus.max(0.0)).sum();
+        self.kept_cpus = self.kept_room(&rooms, env);
+        self.free_cpus = rooms.iter().map(|r| r.free.cpus.max(0.0)).sum::<f64>()
+            - self.kept_cpus.values().sum::<f64>();
         let waiting = || self.jobs.values().filter(|j| j.waits());
         let empty = |spec: &JobSpec, r: &Open| spec.room.fits_in(r.whole);
         self.waiting_here = waiting().filter_map(|j| j.spec()).any(|spec| {
--- /dev/null
+++ b/tests/reserving.rs
@@ -0,0 +1,162 @@
+//! Reservations and windows in the stand-in world, with whole controllers.
+
+mod world;
+
+use serde_json::json;
+use world::{Sabotage, Weather, World};
+
+const CALM: Weather = Weather {
+    lost: 0.0,
+    late: 0.0,
+    crashes: false,
+    outages: false,
+    machine_faults: false,
+    roll: false,
+    calendar: true,
+    short_estimates: false,
+};
+
+const STORM: Weather = Weather {
+    lost: 0.03,
+    late: 0.5,
+    crashes: true,
+    outages: true,
+    machine_faults: true,
+    short_estimates: true,
+    ..CALM
+};
+
+fn world(seed: u64, weather: Weather, sabotage: Sabotage, jobs: usize) -> World {
+    if std::env::var("LOG_LEVEL").is_ok() {
+        let _ = tracing_subscriber::fmt().without_time().try_init();
+    }
+    World::new(seed, weather, sabotage, jobs, 90_000)
+}
+
+/// When the first task of a user's job was on a machine, if it was.
+fn first_start(world: &mut World, user: usize, until: u64) -> Option<u64> {
+    let job = format!("{}/", world.users[user].job);
+    let mut at = world.now;
+    while at < until {
+        at += 100;
+        world.run(at);
+        let on = |t: &world::workers::WorkerTask| t.name.starts_with(&job) && t.state == "running";
+        if world.workers.values().any(|w| w.tasks.iter().any(on)) {
+            return Some(at);
+        }
+    }
+    None
+}
+
+/// Estimates are a tenth of what the tasks take, so that some are still there when a zone closes: they
+/// are stopped in time, the zone is empty throughout, and fills again afterwards.
+#[test]
+fn a_closed_zone_is_empty_whatever_the_estimates_say() {
+    for seed in 1..=20 {
+        let weather = Weather {
+            short_estimates: true,
+            ..CALM
+        };
+        let mut world = world(seed, weather, Sabotage::default(), 14);
+        world.calm = true;
+        world.add_window(5_000, "a", 25_000, 45_000);
+        world.add_window(6_000, "b", 50_000, 60_000);
+        world.run(200_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        assert!(world.bookers.iter().all(|b| b.accepted()), "seed {seed}");
+        assert_eq!(
+            world.settled(),
+            world.users.len(),
+            "seed {seed}: {:#?}",
+            world.unsettled()
+        );
+    }
+}
+
+/// A job that by its estimate would run into a window waits until it is over, though there is room; a
+/// short one does not wait.
+#[test]
+fn a_long_job_does_not_start_before_a_window() {
+    let mut world = world(3, CALM, Sabotage::default(), 0);
+    world.calm = true;
+    world.add_window(5_000, "a", 60_000, 80_000);
+    world.add_user(15_000, json!({"Parcela": "a", "PrevisaoS": 100.0}));
+    world.add_user(15_000, json!({"Parcela": "a", "PrevisaoS": 4.0}));
+    world.add_user(15_000, json!({"Parcela": "b", "PrevisaoS": 100.0}));
+    let short = first_start(&mut world, 1, 55_000);
+    assert!(short.is_some_and(|at| at < 40_000), "{short:?}");
+    let long = first_start(&mut world, 0, 150_000);
+    assert!(long.is_some_and(|at| at > 80_000), "{long:?}");
+    world.run(200_000);
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert_eq!(world.settled(), 3);
+}
+
+/// Guards against two controllers that give the last room to two users, against entries that are lost
+/// or changed by takeovers, an outage or a roll, and against starts in closed zones meanwhile.
+#[test]
+fn what_is_accepted_holds_in_storms() {
+    let (mut accepted, mut refused) = (0, 0);
+    for seed in 1..=60 {
+        let weather = Weather {
+            roll: seed % 3 == 0,
+            ..STORM
+        };
+        let mut world = world(seed, weather, Sabotage::default(), 8);
+        world.draw_bookers(14);
+        world.run(280_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.overbooked(), Vec::<String>::new(), "seed {seed}");
+        let settled = world.bookers.iter().filter(|b| b.told.is_some()).count();
+        assert_eq!(settled, world.bookers.len(), "seed {seed}");
+        accepted += world.bookers.iter().filter(|b| b.accepted()).count();
+        refused += world.bookers.iter().filter(|b| !b.accepted()).count();
+        let all = world.settled() == world.users.len();
+        assert!(all, "seed {seed}: {:#?}", world.unsettled());
+    }
+    assert!(accepted > 100 && refused > 100, "{accepted} {refused}");
+}
+
+/// The check can fail: without conditions two controllers give the same room away.
+#[test]
+fn without_conditions_too_much_is_reserved() {
+    let sabotage = Sabotage {
+        no_conditions: true,
+        ..Sabotage::default()
+    };
+    let found = (1..=40).any(|seed| {
+        let mut world = world(seed, CALM, sabotage, 0);
+        for n in 0..12 {
+            world.add_reservation(20_000 + n / 3, "red", 10.0, Some("a"), 60_000, 90_000);
+        }
+        world.run(40_000);
+        !world.overbooked().is_empty()
+    });
+    assert!(found);
+}
+
+/// A flood of the other team's long tasks fills all that there is. What is reserved is free when its
+/// time comes; without the reservation the same job waits until room falls free.
+#[test]
+fn reserved_room_is_there_under_a_flood() {
+    let wait = |reserve: bool| {
+        let mut world = world(7, CALM, Sabotage::default(), 0);
+        if reserve {
+            world.add_reservation(5_000, "red", 16.0, Some("a"), 60_000, 100_000);
+        }
+        for n in 0..60 {
+            let spec = json!({"Cuadrilla": "blue", "Tarefas": 12, "Cpus": 2.0, "PrevisaoS": 4.0,
+                "Parcela": "a"});
+            world.add_user(6_000 + 1_000 * n, spec);
+        }
+        world.add_user(64_000, json!({"Tarefas": 8, "Cpus": 2.0, "Parcela": "a"}));
+        let user = world.users.len() - 1;
+        world.run(64_000);
+        let start = first_start(&mut world, user, 120_000);
+        assert_eq!(world.broken, Vec::<String>::new());
+        start.map(|at| at - 64_000)
+    };
+    let (with, without) = (wait(true), wait(false));
+    assert!(with.is_some_and(|ms| ms < 5_000), "{with:?} ms");
+    assert!(without.is_none_or(|ms| ms > 20_000), "{without:?} ms");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -11,6 +11,8 @@
     outages: false,
     machine_faults: false,
     roll: false,
+    calendar: false,
+    short_estimates: false,
 };
 
 const STORM: Weather = Weather {
@@ -20,6 +22,8 @@
     outages: true,
     machine_faults: true,
     roll: false,
+    calendar: false,
+    short_estimates: false,
 };
 
 const ROLL: Weather = Weather {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1,6 +1,8 @@
 //! A small deterministic world: state service, cloud, workers, users and a network that delays,
 //! loses and cuts, around real controllers' state machines. Everything follows from the seed.
 
+#[allow(dead_code)] // Used by some of the tests that share this world.
+pub mod booking;
 pub mod cloud;
 mod frozen;
 pub mod state;
@@ -11,7 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
 use snowshelf::coordination::controller::{Controller, TICK_MS};
-use snowshelf::operator::OperatorSettings;
+use snowshelf::operator::{KnownCapacity, OperatorSettings};
 use snowshelf::outbox::{CallResult, Input, Method, Output, Request, Target};
 use snowshelf::settings::Settings;
 use snowshelf_model::ids::{CallId, ConnId, Millis};
@@ -26,6 +28,8 @@
 pub const REPORT_MS: u64 = 1_500;
 pub const CANCEL_MS: u64 = 35_000;
 pub const TEAM_LIMIT: f64 = 24.0;
+/// How far a clock may be from true time (`skew_ms` in the settings below).
+const SKEW_MS: u64 = 100;
 /// What the state service takes once its limits have shrunk.
 const NEXT_KB: f64 = 0.75;
 const NEXT_OPS: usize = 4;
@@ -54,6 +58,10 @@
     pub crashes: bool,
     pub outages: bool,
     pub machine_faults: bool,
+    /// Reservations and windows are switched on, and clocks differ by as much as they may.
+    pub calendar: bool,
+    /// Jobs take much longer than their owners think.
+    pub short_estimates: bool,
     /// The controllers begin as the version before and are replaced one after the other; some time
     /// afterwards the state service takes less.
     pub roll: bool,
@@ -86,6 +94,7 @@
     Hang(String, u64),
     Boot(String),
     UserNext(usize),
+    BookNext(usize),
 }
 
 struct Node {
@@ -119,6 +128,9 @@
     Stranger,
     /// A submission that needs a job nobody submitted.
     Dangling,
+    /// A reservation or a window, and a question about an accepted one.
+    Book(usize),
+    Booked(usize),
 }
 
 pub struct World {
@@ -132,6 +144,10 @@
     pub cloud: Cloud,
     pub workers: BTreeMap<String, Worker>,
     pub users: Vec<User>,
+    pub bookers: Vec<booking::Booker>,
+    seen: booking::Seen,
+    /// Nothing goes wrong on this day, so that closed zones are empty.
+    pub calm: bool,
     asked: BTreeMap<(usize, u64, u64), Asked>,
     next_conn: u64,
     weather: Weather,
@@ -191,6 +207,9 @@
             cloud: Cloud::default(),
             workers: BTreeMap::new(),
             users: Vec::new(),
+            bookers: Vec::new(),
+            seen: booking::Seen::default(),
+            calm: false,
             asked: BTreeMap::new(),
             next_conn: 0,
             weather,
@@ -241,7 +260,8 @@
             "Precedencia": "normal", "Tarefas": tasks, "Cpus": cpus, "Gpus": 0.0, "MemGb": 1.0,
             "Matriz": format!("img-{}", u % 3), "PullGb": 1.0, "Modelos": null, "Parcela": zone,
             "Together": bound == 0, "Apart": bound == 1 && zone.is_none(),
-            "Avulsas": self.rng.random_bool(0.5), "PrevisaoS": 5.0, "MarcoS": 0.0, "GuardaS": 0.0,
+            "Avulsas": self.rng.random_bool(0.5),
+            "PrevisaoS": if self.weather.short_estimates { 0.5 } else { 5.0 }, "MarcoS": 0.0, "GuardaS": 0.0,
             "PrazoS": null});
         // Some jobs need earlier ones, mostly the last: chains, and fans of several.
         let mut needs: Vec<usize> = Vec::new();
@@ -275,6 +295,34 @@
         }
     }
 
+    /// A user with a job of one's own, beside those drawn.
+    #[allow(dead_code)]
+    pub fn add_user(&mut self, submit_at: u64, spec: Value) {
+        let job = format!("wk-{:06}", self.users.len() + 1);
+        let mut whole = json!({"Ref": job, "Lote": "c", "Cuadrilla": "red", "Feitio": "batch",
+            "Precedencia": "normal", "Tarefas": 1, "Cpus": 1.0, "Gpus": 0.0, "MemGb": 1.0,
+            "Matriz": "img-0", "PullGb": 1.0, "Modelos": null, "Parcela": null, "Together": false,
+            "Apart": false, "Avulsas": false, "PrevisaoS": 5.0, "MarcoS": 0.0, "GuardaS": 0.0,
+            "PrazoS": null});
+        for (field, value) in spec.as_object().into_iter().flatten() {
+            whole[field] = value.clone();
+        }
+        self.users.push(User {
+            needs: Vec::new(),
+            job,
+            tasks: whole["Tarefas"].as_u64().unwrap_or(1) as u32,
+            cpus: whole["Cpus"].as_f64().unwrap_or(1.0),
+            spec: whole,
+            accepted: false,
+            told_done: false,
+            told_cancelled: None,
+            wants_cancel: false,
+            cancel_at: None,
+            submit_at,
+        });
+        self.at(submit_at, Event::UserNext(self.users.len() - 1));
+    }
+
     fn draw_faults(&mut self) {
         let end = self.quiet_at;
         if self.weather.roll {
@@ -335,10 +383,11 @@
     }
 
     pub fn run(&mut self, until: u64) {
-        while let Some(Reverse((time, _, slot))) = self.queue.pop() {
+        while let Some(Reverse((time, _, slot))) = self.queue.peek().copied() {
             if time > until || !self.broken.is_empty() {
                 return;
             }
+            self.queue.pop();
             self.now = time;
             if let Some(event) = self.events[slot].take() {
                 self.handle(event);
@@ -352,10 +401,20 @@
         let node = &mut self.nodes[i];
         node.life += 1;
         node.started = now;
-        let ops = OperatorSettings {
+        let mut ops = OperatorSettings {
             hold_format: node.old,
             ..OperatorSettings::default()
         };
+        if self.weather.calendar && !node.old {
+            ops.calendar.enabled = true;
+            ops.calendar.capacity = ["a", "b"]
+                .map(|zone| KnownCapacity {
+                    zone: zone.into(),
+                    model: "s".into(),
+                    machines: 3,
+                })
+                .into();
+        }
         node.controller = Some(Controller::new(settings(i), ops, Millis(1)));
         let life = node.life;
         self.after(1, Event::Tick(i, life));
@@ -369,7 +428,14 @@
         let Some(controller) = &mut node.controller else {
             return;
         };
-        let outputs = controller.handle(input, clock, 1_000_000_000 + now);
+        // One clock is slow, one right, one fast.
+        let skew = if self.weather.calendar {
+            SKEW_MS * i as u64
+        } else {
+            SKEW_MS
+        };
+        let wall = booking::BEGAN - SKEW_MS + skew + now;
+        let outputs = controller.handle(input, clock, wall);
         for output in outputs {
             match output {
                 Output::Respond(conn, response) => {
@@ -539,6 +605,7 @@
                 }
             }
             Event::UserNext(u) => self.user_next(u),
+            Event::BookNext(b) => self.book_next(b),
         }
         for (node, life, call, body) in self.state.timeouts(self.now) {
             let result = CallResult::Answer { status: 200, body };
@@ -756,6 +823,8 @@
         let word = value["Estado"].as_str().unwrap_or("").to_string();
         match asked {
             Asked::Worker(name, number) => self.worker_answer(&name, number, status, &body),
+            Asked::Book(b) => self.booked(b, status, value),
+            Asked::Booked(b) => self.still_booked(b, status, &value),
             Asked::Dangling => {
                 self.dangling += u64::from(status == 422);
                 if status == 200 || status == 201 {
@@ -831,6 +900,7 @@
     // ---- the rules -----------------------------------------------------------------------
 
     fn check(&mut self) {
+        self.check_windows();
         let mut on: BTreeMap<&str, &str> = BTreeMap::new();
         let mut used: BTreeMap<&str, f64> = BTreeMap::new();
         let mut zones: BTreeMap<&str, BTreeMap<&str, u32>> = BTreeMap::new();
