--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,39 @@
+//! The client side: requests to the controllers, and the commands that send them.
+
+pub mod calendar;
+pub mod http;
+pub mod table;
+
+use std::process::ExitCode;
+
+/// How a command ended, as its exit code says.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum End {
+    Done,
+    /// Refused as it does not fit: another time, or never.
+    Refused,
+    /// The command or what it sends is wrong.
+    Wrong,
+    /// No controller answered, or none could decide in time.
+    Unreached,
+    /// Nothing has that name.
+    Missing,
+}
+
+impl From<End> for ExitCode {
+    fn from(end: End) -> ExitCode {
+        ExitCode::from(end.code())
+    }
+}
+
+impl End {
+    pub fn code(self) -> u8 {
+        match self {
+            End::Done => 0,
+            End::Refused => 1,
+            End::Wrong => 2,
+            End::Unreached => 3,
+            End::Missing => 4,
+        }
+    }
+}
--- /dev/null
+++ b/crates/client/tests/commands.rs
@@ -0,0 +1,222 @@
+//! The commands against a server of a few lines on loopback.
+
+use clap::Parser;
+use serde_json::{Value, json};
+use snowshelf_client::End;
+use snowshelf_client::calendar::{Reservations, Told, Windows};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpListener;
+use std::sync::mpsc::{Receiver, channel};
+
+#[derive(Parser)]
+enum Cli {
+    #[command(subcommand)]
+    Reservations(Reservations),
+    #[command(subcommand)]
+    Windows(Windows),
+}
+
+fn run(words: &str) -> Told {
+    let words = std::iter::once("snowshelf").chain(words.split_whitespace());
+    match Cli::try_parse_from(words) {
+        Ok(Cli::Reservations(r)) => r.run(),
+        Ok(Cli::Windows(w)) => w.run(),
+        Err(error) => panic!("{error}"),
+    }
+}
+
+/// Answers so many requests, one after the other, and tells what was asked.
+fn serve(answers: Vec<(u16, &'static str, Value)>) -> (String, Receiver<(String, Value)>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (tell, asked) = channel();
+    std::thread::spawn(move || {
+        for (status, headers, body) in answers {
+            let (stream, _) = listener.accept().unwrap();
+            let mut reader = BufReader::new(stream);
+            let (mut first, mut long) = (String::new(), 0);
+            reader.read_line(&mut first).unwrap();
+            loop {
+                let mut line = String::new();
+                reader.read_line(&mut line).unwrap();
+                if let Some(n) = line.to_lowercase().strip_prefix("content-length:") {
+                    long = n.trim().parse().unwrap();
+                }
+                if line.trim().is_empty() {
+                    break;
+                }
+            }
+            let mut sent = vec![0; long];
+            reader.read_exact(&mut sent).unwrap();
+            let sent = serde_json::from_slice(&sent).unwrap_or(Value::Null);
+            let line = first.rsplit_once(' ').unwrap().0.to_string();
+            let _ = tell.send((line, sent)); // Some tests do not ask.
+            let body = body.to_string();
+            write!(
+                reader.get_mut(),
+                "HTTP/1.1 {status} x\r\n{headers}Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
+                body.len()
+            )
+            .unwrap();
+        }
+    });
+    (address, asked)
+}
+
+const ADD: &str = "reservations add crush --team cantina --cpus 12.5 --zone north --type lagar,parreira \
+    --from 2027-09-01T06:00[Europe/Lisbon] --for 2h30m --movable";
+
+#[test]
+fn a_reservation_is_sent_as_it_was_written() {
+    let (server, asked) = serve(vec![(
+        201,
+        "",
+        json!({"name": "crush", "cpus": 12.5, "places":
+        [{"zone": "north", "type": "lagar", "cpus": 12.5}]}),
+    )]);
+    let told = run(&format!("{ADD} --server {server}"));
+    assert_eq!(told.end, End::Done, "{told:?}");
+    assert!(
+        told.out.contains("crush") && told.out.contains("lagar"),
+        "{}",
+        told.out
+    );
+    let (line, body) = asked.recv().unwrap();
+    assert_eq!(line, "POST /api/reservations");
+    assert_eq!(
+        (&body["from"], &body["until"]),
+        (
+            &json!("2027-09-01T05:00:00Z"),
+            &json!("2027-09-01T07:30:00Z")
+        )
+    );
+    assert_eq!(
+        (&body["cpus"], &body["types"]),
+        (&json!(12.5), &json!(["lagar", "parreira"]))
+    );
+    assert_eq!(
+        (&body["movable"], &body["spot"]),
+        (&json!(true), &json!(false))
+    );
+}
+
+/// Guards against a client that gives up where it was told when to come back, or hangs on the first
+/// controller while another answers.
+#[test]
+fn it_asks_again_and_asks_others() {
+    let dead = TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let (server, asked) = serve(vec![
+        (
+            503,
+            "Retry-After: 1\r\n",
+            json!({"error": "not able to decide yet"}),
+        ),
+        (200, "", json!({"name": "w", "state": "ahead"})),
+    ]);
+    let told = run(&format!(
+        "windows show w --json --server {dead} --server {server}"
+    ));
+    assert_eq!(told.end, End::Done);
+    assert_eq!(
+        serde_json::from_str::<Value>(&told.out).unwrap()["name"],
+        "w"
+    );
+    assert_eq!(asked.iter().count(), 2);
+    let told = run(&format!("windows show w --wait 1 --server {dead}"));
+    assert_eq!((told.end.code(), told.out.as_str()), (3, ""));
+    let (server, _) = serve(vec![(
+        503,
+        "Retry-After: 9\r\n",
+        json!({"error": "too many requests"}),
+    )]);
+    let told = run(&format!("windows show w --wait 1 --server {server}"));
+    assert!(
+        told.end == End::Unreached && told.err.contains("too many requests"),
+        "{told:?}"
+    );
+}
+
+#[test]
+fn exit_codes_and_reasons() {
+    let clash = json!({"error": "there is no room for it then", "fits_from": "2027-09-02T00:00:00Z",
+        "clashes": [{"kind": "window", "name": "power", "from": "a", "until": "b"}], "more_clashes": 3});
+    for (status, body, code, words) in [
+        (
+            409,
+            clash,
+            1,
+            vec![
+                "window power from a until b",
+                "and 3 more",
+                "would fit from 2027-09-02",
+            ],
+        ),
+        (
+            422,
+            json!({"error": "unknown team"}),
+            1,
+            vec!["unknown team"],
+        ),
+        (
+            400,
+            json!({"error": "cpus: must be", "field": "cpus"}),
+            2,
+            vec!["cpus"],
+        ),
+        (
+            404,
+            json!({"error": "no such path"}),
+            4,
+            vec!["no such path"],
+        ),
+    ] {
+        let (server, _) = serve(vec![(status, "", body)]);
+        let told = run(&format!("{ADD} --server {server}"));
+        assert_eq!(told.end.code(), code);
+        for word in words {
+            assert!(told.err.contains(word), "{}", told.err);
+        }
+    }
+    let (server, asked) = serve(vec![(200, "", json!({"name": "w", "state": "cancelled"}))]);
+    assert_eq!(
+        run(&format!("windows cancel w --server {server}")).end,
+        End::Done
+    );
+    assert_eq!(asked.recv().unwrap().0, "POST /api/windows/w/cancel");
+    let told = run("windows add w --zone a --rule /nowhere.json --server 127.0.0.1:1");
+    assert!(told.end == End::Wrong && told.err.contains("/nowhere.json"));
+}
+
+#[test]
+fn lists_are_read_to_their_end() {
+    let item =
+        |n: usize| json!({"name": format!("r{n}"), "team": "acerto", "cpus": 3.0, "state": "open"});
+    let (server, asked) = serve(vec![
+        (200, "", json!({"items": [item(1), item(2)], "more": true})),
+        (200, "", json!({"items": [item(3)], "more": false})),
+    ]);
+    let told = run(&format!("reservations list --server {server}"));
+    assert_eq!(told.end, End::Done);
+    let lines: Vec<&str> = told.out.lines().collect();
+    assert_eq!(lines.len(), 4, "{}", told.out);
+    assert!(lines[0].contains("TEAM") && lines[3].contains("r3") && lines[3].contains(" 3 "));
+    let asked: Vec<String> = asked.iter().map(|(line, _)| line).collect();
+    assert_eq!(asked[1], "GET /api/reservations?limit=100&after=r2");
+}
+
+#[test]
+fn wrong_words_are_refused_before_anything_is_sent() {
+    for words in [
+        "reservations add x --team t --cpus many --server a:1",
+        "reservations add x --team t --cpus 1 --from yesterday --server a:1",
+        "reservations add x --team t --cpus 1 --for -2h --server a:1",
+        "reservations list",
+        "windows add w --zone a --rule f --from 2027-01-01T00:00:00Z --server a:1",
+    ] {
+        let words = std::iter::once("snowshelf").chain(words.split_whitespace());
+        assert!(Cli::try_parse_from(words).is_err());
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Args, Parser, Subcommand};
 use snowshelf::operator::OperatorSettings;
 use snowshelf::settings::Settings;
+use snowshelf_client::calendar::{Reservations, Windows};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -32,6 +33,12 @@
     Check(Files),
     /// Prints the JSON Schema of the operators' own settings.
     Schema,
+    /// Capacity reserved ahead: lists, makes, changes and cancels it.
+    #[command(subcommand)]
+    Reservations(Reservations),
+    /// Maintenance windows: lists, declares, changes and cancels them.
+    #[command(subcommand)]
+    Windows(Windows),
 }
 
 fn load(files: &Files) -> Result<(Settings, OperatorSettings), String> {
@@ -54,6 +61,8 @@
             println!("{:#}", OperatorSettings::schema());
             return ExitCode::SUCCESS;
         }
+        (Some(Command::Reservations(command)), _) => return command.run().print().into(),
+        (Some(Command::Windows(command)), _) => return command.run().print().into(),
         (Some(Command::Check(files)), _) | (None, Some(files)) => files,
         (None, None) => {
             eprintln!("snowshelf: --config FILE is needed; see --help");
