Windows that open during takeovers and an outage, in the stand-in world

Need: nobody may miss a window's moment. Tests only: crashes of one, two or all controllers around the moment, an outage over it, and both; nothing starts in the closed zone and it is empty within 20 s.

--- a/tests/reserving.rs
+++ b/tests/reserving.rs
@@ -58,7 +58,7 @@
             ..CALM
         };
         let mut world = world(seed, weather, Sabotage::default(), 14);
-        world.calm = true;
+        world.empty_after = Some(0);
         world.add_window(5_000, "a", 25_000, 45_000);
         world.add_window(6_000, "b", 50_000, 60_000);
         world.run(200_000);
@@ -73,12 +73,46 @@
     }
 }
 
+/// Guards against a window that nobody keeps because its moment falls into a takeover of parts, or into
+/// an outage: nothing starts, and what is there is stopped as soon as somebody is in charge.
+#[test]
+fn a_window_opens_during_takeovers_and_an_outage() {
+    for seed in 1..=24 {
+        let weather = Weather {
+            short_estimates: true,
+            ..CALM
+        };
+        let mut world = world(seed, weather, Sabotage::default(), 14);
+        world.add_window(5_000, "a", 30_000, 60_000);
+        match seed % 4 {
+            0 => world.outage_at(25_000, 40_000),
+            1 => world.crash_at(28_000, (seed % 3) as usize),
+            2 => (0..3).for_each(|node| world.crash_at(29_500, node)),
+            _ => {
+                world.crash_at(27_000, 0);
+                world.outage_at(29_000, 36_000);
+            }
+        }
+        // A lease of a controller, a takeover, a redirected report and its commands; in an outage the
+        // dead one's part is taken only after it, and its workers' tasks end with their lease.
+        world.empty_after = Some(20_000);
+        world.run(200_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(
+            world.settled(),
+            world.users.len(),
+            "seed {seed}: {:#?}",
+            world.unsettled()
+        );
+    }
+}
+
 /// A job that by its estimate would run into a window waits until it is over, though there is room; a
 /// short one does not wait.
 #[test]
 fn a_long_job_does_not_start_before_a_window() {
     let mut world = world(3, CALM, Sabotage::default(), 0);
-    world.calm = true;
+    world.empty_after = Some(0);
     world.add_window(5_000, "a", 60_000, 80_000);
     world.add_user(15_000, json!({"Parcela": "a", "PrevisaoS": 100.0}));
     world.add_user(15_000, json!({"Parcela": "a", "PrevisaoS": 4.0}));
--- a/tests/world/booking.rs
+++ b/tests/world/booking.rs
@@ -150,14 +150,16 @@
         let mut on = BTreeSet::new();
         let mut broken = Vec::new();
         for (name, w) in &self.workers {
-            let closed = self
-                .windows()
-                .any(|b| b.body["zone"] == *w.zone && b.from < now && now < b.until);
+            // For how long the zone has been closed.
+            let here = self.windows().filter(|b| b.body["zone"] == *w.zone);
+            let mut open = here.filter(|b| b.from < now && now < b.until);
+            let closed = open.next().map(|b| now - b.from);
             for task in w.tasks.iter().filter(|t| WorkerTask::is_on(t)) {
                 let key = (task.name.clone(), task.attempt);
                 let new = !self.seen.on.contains(&key);
-                let calm = self.calm || new && now > w.hung_until + HUNG_MS;
-                if closed && calm {
+                let starts = new && now > w.hung_until + HUNG_MS;
+                let empty = closed.is_some_and(|ms| self.empty_after.is_some_and(|e| ms > e));
+                if closed.is_some() && starts || empty {
                     let what = if new { "starts" } else { "is" };
                     broken.push(format!(
                         "closed: {} {what} on {name} in {}",
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -146,8 +146,8 @@
     pub users: Vec<User>,
     pub bookers: Vec<booking::Booker>,
     seen: booking::Seen,
-    /// Nothing goes wrong on this day, so that closed zones are empty.
-    pub calm: bool,
+    /// So long after it closes a zone is empty on this day, whatever else goes wrong on it.
+    pub empty_after: Option<u64>,
     asked: BTreeMap<(usize, u64, u64), Asked>,
     next_conn: u64,
     weather: Weather,
@@ -209,7 +209,7 @@
             users: Vec::new(),
             bookers: Vec::new(),
             seen: booking::Seen::default(),
-            calm: false,
+            empty_after: None,
             asked: BTreeMap::new(),
             next_conn: 0,
             weather,
@@ -295,6 +295,19 @@
         }
     }
 
+    /// Lets a controller crash, to come back a while later.
+    #[allow(dead_code)]
+    pub fn crash_at(&mut self, at: u64, node: usize) {
+        self.at(at, Event::Crash(node));
+    }
+
+    /// Lets the state service be away.
+    #[allow(dead_code)]
+    pub fn outage_at(&mut self, from: u64, until: u64) {
+        self.at(from, Event::Outage(true));
+        self.at(until, Event::Outage(false));
+    }
+
     /// A user with a job of one's own, beside those drawn.
     #[allow(dead_code)]
     pub fn add_user(&mut self, submit_at: u64, spec: Value) {
