--- a/tests/reserving.rs
+++ b/tests/reserving.rs
@@ -83,6 +83,7 @@
             ..CALM
         };
         let mut world = world(seed, weather, Sabotage::default(), 14);
+        world.run_ms = 30_000;
         world.add_window(5_000, "a", 30_000, 60_000);
         match seed % 4 {
             0 => world.outage_at(25_000, 40_000),
@@ -96,7 +97,7 @@
         // A lease of a controller, a takeover, a redirected report and its commands; in an outage the
         // dead one's part is taken only after it, and its workers' tasks end with their lease.
         world.empty_after = Some(20_000);
-        world.run(200_000);
+        world.run(600_000);
         assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
         assert_eq!(
             world.settled(),
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -146,6 +146,8 @@
     pub users: Vec<User>,
     pub bookers: Vec<booking::Booker>,
     seen: booking::Seen,
+    /// How long tasks run, about.
+    pub run_ms: u64,
     /// So long after it closes a zone is empty on this day, whatever else goes wrong on it.
     pub empty_after: Option<u64>,
     asked: BTreeMap<(usize, u64, u64), Asked>,
@@ -209,6 +211,7 @@
             users: Vec::new(),
             bookers: Vec::new(),
             seen: booking::Seen::default(),
+            run_ms: 3_000,
             empty_after: None,
             asked: BTreeMap::new(),
             next_conn: 0,
@@ -668,7 +671,8 @@
             return;
         };
         let start = self.rng.random_range(0..NODES);
-        let worker = Worker::new(name, &machine, start, self.now);
+        let mut worker = Worker::new(name, &machine, start, self.now);
+        worker.run_ms = self.run_ms;
         self.workers.insert(name.to_string(), worker);
         self.after(1, Event::Report(name.to_string()));
         if self.weather.machine_faults && self.now < self.quiet_at {
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -37,6 +37,8 @@
     pub hung_until: u64,
     pub next_report: u64,
     pub sick: bool,
+    /// How long a task runs, about.
+    pub run_ms: u64,
     pub tasks: Vec<WorkerTask>,
 }
 
@@ -59,6 +61,7 @@
             hung_until: 0,
             next_report: 0,
             sick: false,
+            run_ms: 3_000,
             tasks: Vec::new(),
         }
     }
@@ -156,7 +159,7 @@
         for task in &mut self.tasks {
             if task.state == "pulling" && task.until <= now {
                 task.state = "running";
-                task.until = now + 3_000 + 700 * (task.name.len() as u64 % 3);
+                task.until = now + self.run_ms + 700 * (task.name.len() as u64 % 3);
                 changed = true;
             } else if task.state == "running" && task.until <= now {
                 task.state = "exited";
