--- /dev/null
+++ b/tests/process.rs
@@ -0,0 +1,260 @@
+//! The program as users run it: a real controller on loopback, spoken to by its own command line, killed
+//! and started again. The state service and the cloud are stand-ins on loopback too.
+
+#[path = "world/frozen.rs"]
+mod frozen;
+#[path = "world/state.rs"]
+#[allow(dead_code)]
+mod state;
+
+use snowshelf::outbox::Method;
+use state::StateService;
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// The state service, and answers to its open watches by caller.
+struct Outside {
+    state: StateService,
+    watched: BTreeMap<u64, Vec<u8>>,
+    next: u64,
+    began: Instant,
+}
+
+type Shared = Arc<Mutex<Outside>>;
+
+impl Outside {
+    fn now(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    /// Answers a request, or tells under which number its answer will come.
+    fn call(&mut self, method: &str, path: &str, body: &[u8]) -> Result<(u16, Vec<u8>), u64> {
+        let fixed = |text: &str| Ok((200, text.as_bytes().to_vec()));
+        match path.split('?').next().unwrap_or("") {
+            "/machine_types" => {
+                return fixed(
+                    r#"{"Modelos":[{"Label":"s","Cpus":8,"MemGb":32,"Hourly":0.5,"Parcelas":["a"]}]}"#,
+                );
+            }
+            "/hosts" => return fixed(r#"{"Prensas":[],"More":false}"#),
+            _ => {}
+        }
+        let method = if method == "GET" {
+            Method::Get
+        } else {
+            Method::Post
+        };
+        self.next += 1;
+        let now = self.now();
+        let reply = self.state.call(now, (0, 0, self.next), method, path, body);
+        reply.ok_or(self.next)
+    }
+
+    fn watches(&mut self) {
+        let now = self.now();
+        let mut ready = self.state.woken();
+        ready.extend(self.state.timeouts(now));
+        for (_, _, caller, body) in ready {
+            self.watched.insert(caller, body);
+        }
+    }
+}
+
+fn read_request(reader: &mut BufReader<TcpStream>) -> Option<(String, String, Vec<u8>)> {
+    let mut first = String::new();
+    reader.read_line(&mut first).ok().filter(|n| *n > 0)?;
+    let mut long = 0;
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok()?;
+        if let Some(n) = line.to_lowercase().strip_prefix("content-length:") {
+            long = n.trim().parse().ok()?;
+        }
+        if line.trim().is_empty() {
+            break;
+        }
+    }
+    let mut body = vec![0; long];
+    reader.read_exact(&mut body).ok()?;
+    let mut words = first.split_whitespace().map(str::to_string);
+    Some((words.next()?, words.next()?, body))
+}
+
+/// Serves one connection until its other side is gone.
+fn serve(stream: TcpStream, outside: &Shared) {
+    let mut reader = BufReader::new(stream);
+    while let Some((method, path, body)) = read_request(&mut reader) {
+        let lock = || outside.lock().expect("no test thread has failed");
+        let reply = lock().call(&method, &path, &body);
+        let (status, body) = reply.unwrap_or_else(|caller| {
+            loop {
+                std::thread::sleep(Duration::from_millis(10));
+                let mut outside = lock();
+                outside.watches();
+                if let Some(body) = outside.watched.remove(&caller) {
+                    return (200, body);
+                }
+            }
+        });
+        let head = format!(
+            "HTTP/1.1 {status} x\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        let stream = reader.get_mut();
+        if stream
+            .write_all(&[head.as_bytes(), &body].concat())
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
+fn outside() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let outside = Arc::new(Mutex::new(Outside {
+        state: StateService::new(false),
+        watched: BTreeMap::new(),
+        next: 0,
+        began: Instant::now(),
+    }));
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let outside = outside.clone();
+            std::thread::spawn(move || serve(stream, &outside));
+        }
+    });
+    address
+}
+
+fn free_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap().to_string()
+}
+
+/// A controller that is killed at the test's end.
+struct Controller(Child);
+
+impl Drop for Controller {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn program() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_snowshelf"))
+}
+
+fn start(dir: &Path) -> Controller {
+    let mut command = program();
+    command.arg("--operator").arg(dir.join("calendar.json"));
+    command.arg("--config").arg(dir.join("settings.toml"));
+    Controller(command.stderr(Stdio::null()).spawn().unwrap())
+}
+
+/// A folder of this test's own, removed at its end.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Folder {
+        let dir = std::env::temp_dir().join(format!("snowshelf-process-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        Folder(dir)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn settings(serve_on: &str, outside: &str) -> String {
+    format!(
+        "member = \"n0\"\nserve_on = \"{serve_on}\"\npeer_listen = \"{}\"\n\
+         [outside]\ncloud = \"{outside}\"\nstate = \"{outside}\"\n\
+         [deployment]\nnodes = 1\nzones = [\"a\"]\nskew_ms = 100.0\n\
+         [[deployment.teams]]\nname = \"red\"\ncpus = 8.0\ncpus_max = 64.0\n\
+         [deployment.workers]\nreport_s = 1.5\nlease_s = 10.0\ncancel_s = 35.0\n\
+         [deployment.state]\nrps = 300.0\nwrite_rps = 120.0\nvalue_kb = 16.0\ntxn_ops = 12\n\
+         [deployment.cloud]\nrps = 6.0\nlist_lag_s = 3.0\n\
+         [deployment.limits]\nmem_mb = 100.0\nsockets = 1000\n",
+        free_address()
+    )
+}
+
+/// Guards against commands and controllers that only agree in their own tests: what is booked by the
+/// one is kept by the other, through `kill -9`.
+#[test]
+fn what_is_booked_on_the_command_line_outlives_the_controller() {
+    let folder = Folder::new();
+    let (server, outside) = (free_address(), outside());
+    std::fs::write(folder.0.join("settings.toml"), settings(&server, &outside)).unwrap();
+    let ops = r#"{"calendar": {"enabled": true, "capacity": [{"zone": "a", "type": "s", "machines": 5}]}}"#;
+    std::fs::write(folder.0.join("calendar.json"), ops).unwrap();
+    let run = |words: &str| -> Output {
+        let mut command = program();
+        command.args(words.split_whitespace());
+        command
+            .args(["--server", &server, "--wait", "20"])
+            .output()
+            .unwrap()
+    };
+    let code = |output: &Output| output.status.code().unwrap_or(-1);
+    let text = |output: &Output| {
+        String::from_utf8_lossy(&[&output.stdout[..], &output.stderr[..]].concat()).to_string()
+    };
+    let from = hours_ahead(48);
+    let add = |name: &str, cpus: u32| {
+        run(&format!(
+            "reservations add {name} --team red --cpus {cpus} --from {from} --for 2h"
+        ))
+    };
+    let controller = start(&folder.0);
+    let first = add("r1", 30);
+    assert_eq!(code(&first), 0, "{}", text(&first));
+    assert_eq!(code(&add("r1", 30)), 0, "the same again");
+    assert_eq!(code(&add("r1", 29)), 1, "another of this name");
+    let clash = add("r2", 30);
+    assert_eq!(code(&clash), 1);
+    assert!(
+        text(&clash).contains("reservation r1 from"),
+        "{}",
+        text(&clash)
+    );
+    let missing = run("reservations add r3 --team red --cpus 1");
+    assert!(
+        code(&missing) == 2 && text(&missing).contains("from"),
+        "{}",
+        text(&missing)
+    );
+    drop(controller);
+    let _again = start(&folder.0);
+    let shown = run("reservations show r1 --json");
+    assert_eq!(code(&shown), 0, "{}", text(&shown));
+    assert!(text(&shown).contains("\"cpus\": 30.0"), "{}", text(&shown));
+    assert_eq!(code(&run("reservations cancel r1")), 0);
+    assert_eq!(code(&run("reservations show r1")), 4);
+    assert_eq!(code(&add("r2", 30)), 0);
+    let list = run("reservations list");
+    assert!(
+        text(&list).contains("r2") && !text(&list).contains("r1"),
+        "{}",
+        text(&list)
+    );
+}
+
+/// So many hours from now, as the command line takes it.
+fn hours_ahead(hours: u64) -> String {
+    let now = std::time::SystemTime::now();
+    let since = now.duration_since(std::time::UNIX_EPOCH).unwrap();
+    let at = since.as_millis() as u64 + hours * 3_600_000;
+    snowshelf_calendar::entry::shown(snowshelf_model::ids::WallMs(at))
+}
