Tasks that overrun into a reservation yield to its team's guarantee or priority

Cause of a first failure: jobs of the reserving team went to parts without kept machines, since what others still used there did not count. Change: owners find overrunning tasks on kept machines only while a job of the team waits there, not where its limit holds it back, as many as it needs; parts promise kept room that is still in use, so that the team's jobs come there. Result (stand-in world): tasks ten times as long as estimated; a job within its guarantee runs after less than 8 s, one beyond it waits for them to end.

--- a/crates/model/src/protocol/peer.rs
+++ b/crates/model/src/protocol/peer.rs
@@ -40,7 +40,7 @@
     /// Its machines by zone and type; said only while something is reserved.
     #[prost(message, repeated, tag = "6")]
     pub pools: Vec<PoolHint>,
-    /// Free room that is kept for teams, not counted in `free_cpus`.
+    /// What is kept for teams; not counted in `free_cpus`.
     #[prost(message, repeated, tag = "7")]
     pub kept: Vec<KeptHint>,
 }
@@ -58,11 +58,11 @@
     pub spot: u32,
 }
 
-/// Free CPUs of a part that are kept for a team's reservations.
+/// CPUs of a part that are kept for a team's reservations and not used by the team.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct KeptHint {
     #[prost(string, tag = "1")]
     pub team: String,
     #[prost(double, tag = "2")]
-    pub free_cpus: f64,
+    pub cpus: f64,
 }
--- a/src/coordination/controller/regular.rs
+++ b/src/coordination/controller/regular.rs
@@ -60,8 +60,8 @@
         rooms.extend(self.shards.values().map(|s| (s.part, s.room())));
         let mut kept = self.peers.kept(now);
         for s in self.shards.values() {
-            let own = s.kept_cpus.iter();
-            kept.extend(own.map(|(team, cpus)| ((s.part, team.clone()), *cpus)));
+            let own = s.kept_room.iter();
+            kept.extend(own.map(|(team, k)| ((s.part, team.clone()), k.promised)));
         }
         let away = self.state_silent_ms() >= UNSERVED_MS;
         let mut gateway = std::mem::take(&mut self.gateway);
@@ -237,11 +237,11 @@
                     pool_hints(shard)
                 },
                 kept: shard
-                    .kept_cpus
+                    .kept_room
                     .iter()
-                    .map(|(team, cpus)| KeptHint {
+                    .map(|(team, k)| KeptHint {
                         team: team.as_str().to_string(),
-                        free_cpus: *cpus,
+                        cpus: k.promised,
                     })
                     .collect(),
                 heard: shard
--- a/src/coordination/gateway/mod.rs
+++ b/src/coordination/gateway/mod.rs
@@ -70,7 +70,7 @@
     next: u64,
     /// Room by part, as far as known.
     pub rooms: BTreeMap<PartId, PartRoom>,
-    /// Free room that parts keep for teams, beside that.
+    /// CPUs that parts keep for teams, beside that.
     pub kept: BTreeMap<(PartId, Team), f64>,
     /// CPUs lately given to parts, which these do not tell of yet.
     given: VecDeque<(Millis, PartId, f64)>,
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -108,7 +108,7 @@
             .collect()
     }
 
-    /// Free room that others keep for teams, by part.
+    /// Room that others keep for teams, by part.
     pub fn kept(&self, now: Millis) -> BTreeMap<(PartId, Team), f64> {
         let parts = self.fresh(now).flat_map(|(_, h)| h.parts.iter());
         parts
@@ -116,7 +116,7 @@
                 let part = PartId(p.part);
                 p.kept
                     .iter()
-                    .map(move |k| ((part, Team::new(&k.team)), k.free_cpus))
+                    .map(move |k| ((part, Team::new(&k.team)), k.cpus))
             })
             .collect()
     }
--- a/src/coordination/shard/claims.rs
+++ b/src/coordination/shard/claims.rs
@@ -19,7 +19,7 @@
     /// Takes the machines kept for teams by now out of the rooms, by team.
     fn take_kept(&self, rooms: &mut Vec<Open>, env: &Env) -> BTreeMap<Team, Vec<Open>> {
         let mut kept: BTreeMap<Team, Vec<Open>> = BTreeMap::new();
-        for team in self.kept_cpus.keys() {
+        for team in self.kept_room.keys() {
             let theirs = rooms.extract_if(.., |r| self.kept_for(&r.name, team, env));
             kept.insert(team.clone(), theirs.collect());
         }
@@ -33,7 +33,7 @@
             return;
         }
         // Room that is kept for a team is of no use to what waits here.
-        let kept = self.kept_cpus.values().any(|cpus| *cpus > 0.0);
+        let kept = self.kept_room.values().any(|k| k.free > 0.0);
         let idle = !self.waiting_here && self.free_cpus > 0.0;
         if !idle && !kept {
             return;
--- a/src/coordination/shard/keeping.rs
+++ b/src/coordination/shard/keeping.rs
@@ -3,15 +3,15 @@
 
 use super::Shard;
 use super::machine::Machine;
-use super::placing::Open;
+use super::placing::{Open, within_guarantee};
 use crate::coordination::env::Env;
 use crate::coordination::placement::{estimate, slowest_fetch};
 use snowshelf_calendar::amount::Amount;
 use snowshelf_calendar::calendar::Pool;
 use snowshelf_calendar::guard::Hold;
-use snowshelf_model::ids::{MachineId, PartId, Team, WallMs, part_of, seconds_to_ms};
+use snowshelf_model::ids::{JobId, MachineId, PartId, Team, WallMs, part_of, seconds_to_ms};
 use snowshelf_model::records::{JobSpec, Kind};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What a machine is kept for.
 pub(super) struct Kept {
@@ -20,6 +20,14 @@
     until: WallMs,
 }
 
+/// CPUs of machines that are kept for a team.
+#[derive(Clone, Copy, Default)]
+pub struct KeptRoom {
+    pub free: f64,
+    /// Free, or used by others.
+    pub promised: f64,
+}
+
 /// Longer than a worker takes to hear a command and to say that it was carried out, beside two reports.
 const HEAR_MS: u64 = 1_000;
 
@@ -197,19 +205,85 @@
         kept.is_some_and(|k| k.team == *team && k.from.0 <= env.out.wall_ms)
     }
 
-    /// What of the free room is kept for teams by now.
-    pub(super) fn kept_room(&self, rooms: &[Open], env: &Env) -> BTreeMap<Team, f64> {
-        let mut kept: BTreeMap<Team, f64> = BTreeMap::new();
+    /// What is kept for teams by now: what of it is free, and what is not their own use, which is
+    /// theirs as soon as it falls free or is freed.
+    pub(super) fn kept_room(&self, rooms: &[Open], env: &Env) -> BTreeMap<Team, KeptRoom> {
+        let mut kept: BTreeMap<Team, KeptRoom> = BTreeMap::new();
         for room in rooms.iter() {
             if let Some(k) = self.kept.get(&room.name)
                 && k.from.0 <= env.out.wall_ms
             {
-                *kept.entry(k.team.clone()).or_default() += room.free.cpus.max(0.0);
+                let theirs = self.jobs_on(&room.name).filter_map(|(_, j)| {
+                    let spec = j.spec().filter(|s| s.team == k.team)?;
+                    let tasks = j.view.started.get(&room.name)?.len();
+                    Some(spec.room.cpus * f64::from(tasks))
+                });
+                let entry = kept.entry(k.team.clone()).or_default();
+                entry.free += room.free.cpus.max(0.0);
+                entry.promised += (room.whole.cpus - theirs.sum::<f64>()).max(0.0);
             }
         }
         kept
     }
 
+    /// Finds the tasks of other teams that have overrun their estimates on machines kept for a
+    /// reservation by now, and that may be stopped for jobs of its team which wait here: to give these
+    /// their team's guarantee, where theirs is not concerned, or for their priority. As many as the
+    /// waiting tasks need, and none where only the team's limit holds these back.
+    pub(super) fn find_overrun(&mut self, env: &Env) {
+        self.overrun.clear();
+        let mut needs: BTreeMap<&Team, (f64, Vec<&JobId>)> = BTreeMap::new();
+        let open = |k: &&Kept| k.from.0 <= env.out.wall_ms && env.out.wall_ms < k.until.0;
+        for kept in self.kept.values().filter(open) {
+            needs.entry(&kept.team).or_default();
+        }
+        needs.retain(|team, _| !self.short_of.contains_key(*team));
+        if needs.is_empty() {
+            return;
+        }
+        for (id, job) in self.jobs.iter().filter(|(_, j)| j.waits()) {
+            let Some(spec) = job.spec() else { continue };
+            if let Some((cpus, jobs)) = needs.get_mut(&spec.team) {
+                *cpus += spec.room.cpus * f64::from(job.view.waiting.len());
+                jobs.push(id);
+            }
+        }
+        needs.retain(|_, (cpus, _)| *cpus > 0.0);
+        if needs.is_empty() {
+            return;
+        }
+        let within = within_guarantee(env);
+        let priority = |id: &JobId| self.jobs.get(id)?.spec().map(|s| s.priority);
+        let mut overrun: BTreeMap<MachineId, BTreeSet<JobId>> = BTreeMap::new();
+        for (name, kept) in self.kept.iter().filter(|(_, k)| open(k)) {
+            let Some((cpus, newcomers)) = needs.get_mut(&kept.team) else {
+                continue;
+            };
+            for (id, job) in self.jobs_on(name) {
+                let Some(spec) = job.spec().filter(|s| s.team != kept.team) else {
+                    continue;
+                };
+                let yields = newcomers.iter().any(|new| {
+                    let guarantee = within.contains(*new) && !within.contains(id);
+                    guarantee || priority(new) > Some(spec.priority)
+                });
+                if yields && *cpus > 0.0 {
+                    let tasks = job.view.started.get(name).map_or(0, |s| s.len());
+                    *cpus -= spec.room.cpus * f64::from(tasks);
+                    overrun.entry(name.clone()).or_default().insert(id.clone());
+                }
+            }
+        }
+        self.overrun = overrun;
+    }
+
+    /// Whether a task is to be stopped for a reservation.
+    pub(super) fn overruns(&self, name: &MachineId, job: &JobId) -> bool {
+        self.overrun
+            .get(name)
+            .is_some_and(|jobs| jobs.contains(job))
+    }
+
     fn keeps(&self, hold: &Hold, m: &Machine) -> bool {
         m.pool.as_ref() == Some(&hold.pool)
             && (hold.spot || !m.spot)
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -42,10 +42,12 @@
     images: HashMap<String, u32>,
     /// Machines kept for reservations.
     kept: BTreeMap<MachineId, keeping::Kept>,
+    /// Jobs whose tasks on a machine are stopped for a reservation, as of the last pass.
+    overrun: BTreeMap<MachineId, BTreeSet<JobId>>,
     /// The other parts' machines by pool, ordinary and spot ones, while something is reserved.
     pub elsewhere: Rc<BTreeMap<(PartId, Pool), (u32, u32)>>,
-    /// Free room kept for teams, as of the last pass.
-    pub kept_cpus: BTreeMap<Team, f64>,
+    /// Room kept for teams, as of the last pass.
+    pub kept_room: BTreeMap<Team, keeping::KeptRoom>,
     gone: HashSet<MachineId>,
     gone_order: VecDeque<MachineId>,
     next_step: u64,
@@ -91,8 +93,9 @@
             on: BTreeMap::new(),
             images: HashMap::new(),
             kept: BTreeMap::new(),
+            overrun: BTreeMap::new(),
             elsewhere: Rc::default(),
-            kept_cpus: BTreeMap::new(),
+            kept_room: BTreeMap::new(),
             gone: HashSet::new(),
             gone_order: VecDeque::new(),
             next_step: 0,
--- a/src/coordination/shard/placing.rs
+++ b/src/coordination/shard/placing.rs
@@ -18,7 +18,7 @@
     pub name: MachineId,
     pub free: Room,
     /// What it would have free without any task.
-    whole: Room,
+    pub whole: Room,
 }
 
 /// A waiting job's place in the order in which they are served.
@@ -233,9 +233,10 @@
             }
         }
         self.dirty = false;
-        self.kept_cpus = self.kept_room(&rooms, env);
+        self.find_overrun(env);
+        self.kept_room = self.kept_room(&rooms, env);
         self.free_cpus = rooms.iter().map(|r| r.free.cpus.max(0.0)).sum::<f64>()
-            - self.kept_cpus.values().sum::<f64>();
+            - self.kept_room.values().map(|k| k.free).sum::<f64>();
         let waiting = || self.jobs.values().filter(|j| j.waits());
         let empty = |spec: &JobSpec, r: &Open| spec.room.fits_in(r.whole);
         self.waiting_here = waiting().filter_map(|j| j.spec()).any(|spec| {
@@ -363,7 +364,7 @@
 }
 
 /// The jobs that fit into their team's guarantee together with the team's earlier unfinished ones.
-fn within_guarantee(env: &Env) -> HashSet<JobId> {
+pub(super) fn within_guarantee(env: &Env) -> HashSet<JobId> {
     let mut open: Vec<(WallMs, &JobId, &JobSpec)> = env
         .mirror
         .jobs
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -395,7 +395,7 @@
                         grace_s: save_s,
                     });
                 }
-            } else if machine.draining {
+            } else if machine.draining || self.overruns(name, &task.job) {
                 commands.push(Command::Halt {
                     task,
                     attempt,
--- a/tests/reserving.rs
+++ b/tests/reserving.rs
@@ -170,6 +170,35 @@
     assert!(found);
 }
 
+/// Tasks of the other team run ten times as long as their owner thinks and are still there when the
+/// reservation opens. Those beyond their team's guarantee are stopped for a job within its own; for
+/// one beyond it, and of no higher priority, they are not.
+#[test]
+fn overrunning_tasks_yield_only_to_a_guarantee() {
+    let wait = |tasks: u32| {
+        let mut world = world(9, CALM, Sabotage::default(), 0);
+        world.run_ms = 50_000;
+        world.add_reservation(5_000, "red", 20.0, Some("a"), 60_000, 150_000);
+        for n in 0..6 {
+            let spec = json!({"Cuadrilla": "blue", "Tarefas": 4, "Cpus": 4.0, "PrevisaoS": 4.0,
+                "Parcela": "a"});
+            world.add_user(42_000 + 1_000 * n, spec);
+        }
+        world.add_user(
+            61_000,
+            json!({"Tarefas": tasks, "Cpus": 4.0, "Parcela": "a"}),
+        );
+        let user = world.users.len() - 1;
+        world.run(61_000);
+        let start = first_start(&mut world, user, 140_000).expect("the job starts");
+        assert_eq!(world.broken, Vec::<String>::new());
+        start - 61_000
+    };
+    let (guaranteed, beyond) = (wait(2), wait(3));
+    assert!(guaranteed < 8_000, "{guaranteed} ms");
+    assert!(beyond > 12_000, "{beyond} ms");
+}
+
 /// A flood of the other team's long tasks fills all that there is. What is reserved is free when its
 /// time comes; without the reservation the same job waits until room falls free.
 #[test]
