--- a/crates/calendar/examples/admissions.rs
+++ b/crates/calendar/examples/admissions.rs
@@ -76,6 +76,13 @@
     }
     let took = start.elapsed().as_secs_f64();
     let held = resident_kb().unwrap_or(0).saturating_sub(before);
+    let again = Instant::now();
+    let mut copy = Calendar::new(calendar.bounds().clone(), WallMs(0));
+    for (name, r) in calendar.reservations() {
+        copy.set_reservation(name, Some(r.clone()));
+    }
+    let built_ms = again.elapsed().as_secs_f64() * 1000.0;
+    println!("built anew from its records in {built_ms:.0} ms");
     println!(
         "{} entries of {tried} asked, {moved} moved, {took:.2} s: {:.0} admissions a second, the slowest {:.1} ms; {held} kB",
         calendar.len(),
--- a/crates/calendar/src/calendar.rs
+++ b/crates/calendar/src/calendar.rs
@@ -47,6 +47,8 @@
     pub times: Arc<Vec<(WallMs, WallMs)>>,
 }
 
+const DAY_MS: u64 = 86_400_000;
+
 /// The most occurrences of one window that are planned.
 pub(crate) const MOST_TIMES: usize = 1_100;
 /// A request may begin so long before it arrives.
@@ -81,6 +83,17 @@
         }
     }
 
+    /// Whether it is planned as far as it should be, but for a day.
+    pub fn plans_ahead(&self, now: WallMs) -> bool {
+        let ahead = self.planned.0.saturating_sub(now.0);
+        ahead.saturating_add(DAY_MS) >= self.bounds.horizon_ms
+    }
+
+    /// Whether it is still right for these bounds.
+    pub fn serves(&self, bounds: &Bounds, now: WallMs) -> bool {
+        *self.bounds == *bounds && self.plans_ahead(now)
+    }
+
     pub fn planned(&self) -> WallMs {
         self.planned
     }
--- a/src/coordination/bookings/mod.rs
+++ b/src/coordination/bookings/mod.rs
@@ -14,13 +14,16 @@
 use super::env::{Env, Tag};
 use crate::bookkeeping::mirror::Changed;
 use crate::bookkeeping::store::{Class, TxnResult};
+use crate::operator::{CalendarSettings, KnownCapacity};
 use crate::outbox::Response;
+use crate::settings::TeamLimits;
 use deciding::Decided;
 use snowshelf_calendar::amount::Amount;
 use snowshelf_calendar::calendar::{Bounds, Calendar, Pool};
 use snowshelf_calendar::entry::When;
 use snowshelf_calendar::guard::Guard;
 use snowshelf_model::ids::{ConnId, Millis, Team, Version, WallMs};
+use snowshelf_model::protocol::cloud::MachineType;
 use snowshelf_model::protocol::state::{Change, Txn};
 use snowshelf_model::records::{CALENDAR_KEY, Capability, Room};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -60,6 +63,8 @@
 pub struct Bookings {
     calendar: Calendar,
     built: bool,
+    /// The machine types have been told anew, perhaps with other prices only.
+    types_changed: bool,
     queue: VecDeque<Waiting>,
     underway: Option<Underway>,
     next: u64,
@@ -71,13 +76,17 @@
     tidying: bool,
 }
 
-/// What the deployment can have at the most, as far as its operators and the cloud say.
-fn bounds(env: &Env) -> Bounds {
-    let ops = &env.cfg.ops.calendar;
+/// What the deployment can have at the most, as far as its operators and the cloud say. Prices do not
+/// matter to it.
+pub fn bounds(
+    types: &BTreeMap<String, MachineType>,
+    teams: &[TeamLimits],
+    ops: &CalendarSettings,
+) -> Bounds {
     let mut pools = BTreeMap::new();
-    for t in env.types.values() {
+    for t in types.values() {
         for zone in &t.zones {
-            let known = |c: &&crate::operator::KnownCapacity| c.zone == *zone && c.model == t.label;
+            let known = |c: &&KnownCapacity| c.zone == *zone && c.model == t.label;
             let most = match ops.capacity.iter().find(known) {
                 Some(c) => Amount::of(t.room()).times(i64::from(c.machines)),
                 None => Amount::BOUNDLESS,
@@ -85,7 +94,7 @@
             pools.insert(Pool::new(zone, &t.label), most);
         }
     }
-    let limits = env.cfg.settings.deployment.teams.iter().map(|t| {
+    let limits = teams.iter().map(|t| {
         let limit = Room {
             cpus: t.cpus_max,
             gpus: t.gpus_max,
@@ -131,11 +140,13 @@
         }
     }
 
+    /// Whether there is a calendar that changes concern.
+    pub fn is_built(&self) -> bool {
+        self.built
+    }
+
     /// Brings the calendar up to date with what has changed.
     pub fn changed(&mut self, changes: &[Changed], env: &Env) {
-        if !self.built {
-            return;
-        }
         let now = WallMs(env.out.wall_ms);
         for change in changes {
             match change {
@@ -149,7 +160,10 @@
                     let new = new.map(|v| Arc::new((*v.value).clone()));
                     self.calendar.set_window(name, new, now);
                 }
-                Changed::Types => self.built = false,
+                Changed::Types => {
+                    self.types_changed = true;
+                    continue;
+                }
                 _ => continue,
             }
             self.guard_at = Millis(0);
@@ -161,14 +175,20 @@
         let wanted = env.cfg.ops.calendar.enabled
             || !env.mirror.reservations.is_empty()
             || !env.mirror.windows.is_empty();
+        if !wanted || !env.mirror.loaded || env.types.is_empty() {
+            return;
+        }
         let now = WallMs(env.out.wall_ms);
-        let planned = self.calendar.planned().0;
-        let ahead = planned.saturating_sub(now.0) + DAY_MS;
-        let far = self.built && ahead >= self.calendar.bounds().horizon_ms;
-        if far || !wanted || !env.mirror.loaded || env.types.is_empty() {
+        // Guards against building it anew with every change of a price.
+        let changed = std::mem::take(&mut self.types_changed);
+        if self.built && !changed && self.calendar.plans_ahead(now) {
+            return;
+        }
+        let teams = &env.cfg.settings.deployment.teams;
+        let bounds = bounds(env.types, teams, &env.cfg.ops.calendar);
+        if self.built && self.calendar.serves(&bounds, now) {
             return;
         }
-        let bounds = bounds(env);
         self.calendar = Calendar::new(Arc::new(bounds), now);
         for (name, v) in &env.mirror.windows {
             let window = Arc::new((*v.value).clone());
--- a/src/coordination/controller/answers.rs
+++ b/src/coordination/controller/answers.rs
@@ -235,7 +235,9 @@
     }
 
     pub(super) fn changed(&mut self, changed: Vec<Changed>) {
-        self.with_bookings(|bookings, env| bookings.changed(&changed, env));
+        if self.bookings.is_built() {
+            self.with_bookings(|bookings, env| bookings.changed(&changed, env));
+        }
         let mut jobs: BTreeSet<JobId> = BTreeSet::new();
         for change in changed {
             match change {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -441,3 +441,34 @@
     said.insert(all[0].clone(), word(10, WIDE, &[]));
     assert!(next(&[], &said, Some(&settled)).is_none());
 }
+
+/// Guards against a calendar that is built anew with every change of a spot price, twice a minute, with
+/// all that is in it; a new type or more machines do change it, and so does time.
+#[test]
+fn prices_do_not_concern_the_calendar() {
+    use snowshelf::coordination::bookings::bounds;
+    use snowshelf::operator::{CalendarSettings, KnownCapacity};
+    use snowshelf_calendar::calendar::Calendar;
+    use snowshelf_model::ids::WallMs;
+    use std::sync::Arc;
+    let ops = CalendarSettings::default();
+    let types = |price| BTreeMap::from([machine_type("a", 8.0, price, Some(price / 3.0))]);
+    let first = bounds(&types(0.5), &[], &ops);
+    let calendar = Calendar::new(Arc::new(first), WallMs(0));
+    assert!(calendar.serves(&bounds(&types(0.6), &[], &ops), WallMs(0)));
+    let mut more = types(0.5);
+    more.extend([machine_type("b", 4.0, 0.1, None)]);
+    assert!(!calendar.serves(&bounds(&more, &[], &ops), WallMs(0)));
+    let known = KnownCapacity {
+        zone: "a".to_string(),
+        model: "a".to_string(),
+        machines: 3,
+    };
+    let known = CalendarSettings {
+        capacity: vec![known],
+        ..ops.clone()
+    };
+    assert!(!calendar.serves(&bounds(&types(0.5), &[], &known), WallMs(0)));
+    let day = 86_400_000;
+    assert!(calendar.plans_ahead(WallMs(day)) && !calendar.plans_ahead(WallMs(day + 1)));
+}
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -243,6 +243,26 @@
     assert_eq!(code(&run("reservations cancel r1")), 0);
     assert_eq!(code(&run("reservations show r1")), 4);
     assert_eq!(code(&add("r2", 30)), 0);
+    let change = |cpus| {
+        run(&format!(
+            "reservations change r2 --team red --cpus {cpus} --from {from} --for 2h"
+        ))
+    };
+    assert_eq!((code(&change(41)), code(&change(20))), (1, 0));
+    let window = format!("add w --zone a --from {from} --for 1h");
+    let refused = run(&format!("windows {window}"));
+    assert!(
+        code(&refused) == 1 && text(&refused).contains("r2"),
+        "{}",
+        text(&refused)
+    );
+    assert_eq!(code(&run(&format!("windows {window} --force"))), 0);
+    let displaced = run("reservations show r2");
+    assert!(
+        text(&displaced).contains("displaced_by"),
+        "{}",
+        text(&displaced)
+    );
     let list = run("reservations list");
     assert!(
         text(&list).contains("r2") && !text(&list).contains("r1"),
--- a/tests/reserving.rs
+++ b/tests/reserving.rs
@@ -6,24 +6,14 @@
 use world::{Sabotage, Weather, World};
 
 const CALM: Weather = Weather {
-    lost: 0.0,
-    late: 0.0,
-    crashes: false,
-    outages: false,
-    machine_faults: false,
-    roll: false,
     calendar: true,
-    short_estimates: false,
+    ..Weather::CALM
 };
 
 const STORM: Weather = Weather {
-    lost: 0.03,
-    late: 0.5,
-    crashes: true,
-    outages: true,
-    machine_faults: true,
+    calendar: true,
     short_estimates: true,
-    ..CALM
+    ..Weather::STORM
 };
 
 fn world(seed: u64, weather: Weather, sabotage: Sabotage, jobs: usize) -> World {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,27 +4,8 @@
 
 use world::{Sabotage, Weather, World};
 
-const CALM: Weather = Weather {
-    lost: 0.0,
-    late: 0.0,
-    crashes: false,
-    outages: false,
-    machine_faults: false,
-    roll: false,
-    calendar: false,
-    short_estimates: false,
-};
-
-const STORM: Weather = Weather {
-    lost: 0.03,
-    late: 0.5,
-    crashes: true,
-    outages: true,
-    machine_faults: true,
-    roll: false,
-    calendar: false,
-    short_estimates: false,
-};
+const CALM: Weather = Weather::CALM;
+const STORM: Weather = Weather::STORM;
 
 const ROLL: Weather = Weather {
     roll: true,
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -67,6 +67,29 @@
     pub roll: bool,
 }
 
+impl Weather {
+    /// Nothing goes wrong.
+    pub const CALM: Weather = Weather {
+        lost: 0.0,
+        late: 0.0,
+        crashes: false,
+        outages: false,
+        machine_faults: false,
+        calendar: false,
+        short_estimates: false,
+        roll: false,
+    };
+    /// Everything does.
+    pub const STORM: Weather = Weather {
+        lost: 0.03,
+        late: 0.5,
+        crashes: true,
+        outages: true,
+        machine_faults: true,
+        ..Weather::CALM
+    };
+}
+
 enum Event {
     Tick(usize, u64),
     Arrive {
