Lists and refusals look at windows only where there are some; forced windows are logged

Need: a list of 200 reservations asked for each of them about every window's every time, on the event loop. Behaviour otherwise as before: the plain model agrees.

--- a/crates/calendar/src/admission.rs
+++ b/crates/calendar/src/admission.rs
@@ -195,10 +195,8 @@
                 if !pools.iter().any(here) {
                     continue;
                 }
-                let mut times = closing.times.iter();
-                if let Some((from, until)) =
-                    times.find(|(a, b)| *a < wanted.until && *b > wanted.from)
-                {
+                let times = overlapping(&closing.times, wanted.from, wanted.until);
+                if let Some((from, until)) = times.first() {
                     found.push(clash(Kind::Window, name, *from, *until));
                 }
             }
@@ -266,7 +264,7 @@
             .filter(|(_, r)| {
                 let mut shares = r.shares.iter();
                 shares.any(|s| window.concerns(&s.zone, &s.model))
-                    && times.iter().any(|(a, b)| *a < r.until && *b > r.from)
+                    && !overlapping(&times, r.from, r.until).is_empty()
             })
             .map(|(name, r)| clash(Kind::Reservation, name, r.from, r.until))
             .collect();
@@ -286,22 +284,34 @@
     /// The windows that close something of a reservation during its time: only a forced window does.
     pub fn displaced(&self, r: &Reservation) -> Vec<Clash> {
         let mut found = Vec::new();
+        // Mostly there is none, and a list of reservations asks for each: windows are looked at only
+        // where one is known to be there.
+        let closed = |s: &Share| {
+            let pool = Pool::new(&s.zone, &s.model);
+            self.closed_within(&pool, r.from, r.until)
+        };
+        if !r.shares.iter().any(closed) {
+            return found;
+        }
         for (name, closing) in &self.windows {
             let mut shares = r.shares.iter();
             if !shares.any(|s| closing.window.concerns(&s.zone, &s.model)) {
                 continue;
             }
-            let times = closing.times.iter();
-            found.extend(
-                times
-                    .filter(|(a, b)| *a < r.until && *b > r.from)
-                    .map(|(a, b)| clash(Kind::Window, name, *a, *b)),
-            );
+            let times = overlapping(&closing.times, r.from, r.until).iter();
+            found.extend(times.map(|(a, b)| clash(Kind::Window, name, *a, *b)));
         }
         found
     }
 }
 
+/// Of a window's times, which are all equally long and in order, those that overlap a span.
+fn overlapping(times: &[(WallMs, WallMs)], from: WallMs, until: WallMs) -> &[(WallMs, WallMs)] {
+    let first = times.partition_point(|(_, end)| *end <= from);
+    let after = times.partition_point(|(start, _)| *start < until);
+    &times[first..after.max(first)]
+}
+
 fn clash(kind: Kind, name: &Name, from: WallMs, until: WallMs) -> Clash {
     Clash {
         kind,
--- a/src/coordination/bookings/deciding.rs
+++ b/src/coordination/bookings/deciding.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use serde_json::Value;
 use snowshelf_calendar::calendar::Calendar;
+use snowshelf_calendar::entry::Name;
 use snowshelf_calendar::refusal::{Kind, Refusal};
 use snowshelf_model::ids::{Version, WallMs};
 use snowshelf_model::protocol::user;
@@ -23,12 +24,15 @@
 pub(super) struct Decided {
     pub response: Response,
     pub write: Option<Write>,
+    /// Reservations that a forced window lies over, for the log.
+    pub displaced: Vec<Name>,
 }
 
 fn told(status: u16, body: Value) -> Decided {
     Decided {
         response: Response::new(status, body.to_string().into_bytes()),
         write: None,
+        displaced: Vec::new(),
     }
 }
 
@@ -40,6 +44,7 @@
     Decided {
         response: Response::new(404, user::error("no such entry")),
         write: None,
+        displaced: Vec::new(),
     }
 }
 
@@ -57,6 +62,7 @@
         return Decided {
             response: Response::new(422, user::error(why)),
             write: None,
+            displaced: Vec::new(),
         };
     }
     Decided {
@@ -140,7 +146,10 @@
             } else {
                 201
             };
-            let decided = told(status, body);
+            let decided = Decided {
+                displaced: displaced.into_iter().map(|c| c.name).collect(),
+                ..told(status, body)
+            };
             if *how == How::Check {
                 return decided;
             }
--- a/src/coordination/bookings/mod.rs
+++ b/src/coordination/bookings/mod.rs
@@ -306,6 +306,10 @@
                             status = decided.response.status,
                             "the calendar has changed"
                         );
+                        for name in &decided.displaced {
+                            tracing::info!(reservation = %name, window = write.key,
+                                "a window was forced over a reservation");
+                        }
                         let value = write.value.as_ref();
                         changed.extend(env.mirror.apply(&write.key, value, revision));
                     }
