snowshelf graph check, expand and convert; schemas of graphs and mappings

Need: analysts see what is wrong with a file, and what it would become, before anything starts. Change: commands that read all three forms, check them whole, and print a tree, JSON, DOT, SVG, the native form, or every job of a run with what it was made from.

--- a/crates/client/src/calendar.rs
+++ b/crates/client/src/calendar.rs
@@ -1,8 +1,8 @@
 //! `snowshelf reservations` and `snowshelf windows`.
 
-use crate::End;
 use crate::http::{Answer, Client, Method, Unanswered};
 use crate::table;
+use crate::{End, Told};
 use clap::{Args, Subcommand};
 use jiff::{SignedDuration, Timestamp, ZonedDateTime};
 use serde_json::{Map, Value, json};
@@ -227,14 +227,6 @@
     ("STATE", "state"),
 ];
 
-/// What a command prints and how it ends.
-#[derive(Debug)]
-pub struct Told {
-    pub out: String,
-    pub err: String,
-    pub end: End,
-}
-
 fn wrong(why: String) -> Told {
     Told {
         out: String::new(),
@@ -392,16 +384,3 @@
         }
     }
 }
-
-impl Told {
-    /// Prints it, what went wrong to standard error.
-    pub fn print(&self) -> End {
-        if !self.out.is_empty() {
-            println!("{}", self.out);
-        }
-        if !self.err.is_empty() {
-            eprintln!("snowshelf: {}", self.err);
-        }
-        self.end
-    }
-}
--- /dev/null
+++ b/crates/client/src/graph.rs
@@ -0,0 +1,215 @@
+//! `snowshelf graph`: files of graphs, read here, since reading them is no controller's work.
+
+use crate::{End, Told};
+use clap::{Args, Subcommand};
+use jiff::Timestamp;
+use serde_json::Value;
+use snowshelf_dag::graph::Graph;
+use snowshelf_dag::mapping::Mapping;
+use snowshelf_dag::plan::{Plan, expand};
+use snowshelf_dag::problem::{Problem, Problems};
+use snowshelf_dag::template::RunFacts;
+use snowshelf_dag::{check, native, serialized, show};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+/// A file, and how its steps become jobs.
+#[derive(Args, Clone, Debug)]
+pub struct File {
+    /// A DAG file (.py), a serialized DAG (.json), or the native form (.yaml or .json).
+    pub file: PathBuf,
+    /// Which graph, where the file has several.
+    #[arg(long)]
+    pub name: Option<String>,
+    /// How operators become jobs (YAML or JSON); see `snowshelf schema mapping`.
+    #[arg(long, value_name = "FILE")]
+    pub mapping: Option<PathBuf>,
+}
+
+#[derive(Args, Clone, Debug)]
+pub struct Check {
+    #[command(flatten)]
+    pub file: File,
+    /// Prints the graph in its native form, as JSON.
+    #[arg(long, conflicts_with_all = ["dot", "svg"])]
+    pub json: bool,
+    /// Prints it for Graphviz.
+    #[arg(long, conflicts_with = "svg")]
+    pub dot: bool,
+    /// Prints it as a picture.
+    #[arg(long)]
+    pub svg: bool,
+}
+
+#[derive(Args, Clone, Debug)]
+pub struct Expand {
+    #[command(flatten)]
+    pub file: File,
+    /// A parameter, as NAME=VALUE: JSON, or a text.
+    #[arg(long, value_name = "NAME=VALUE", value_parser = param)]
+    pub param: Vec<(String, Value)>,
+    /// The run's id.
+    #[arg(long, default_value = "trial")]
+    pub run: String,
+    /// The beginning of the interval that it is for; none: now.
+    #[arg(long, value_name = "TIME")]
+    pub from: Option<Timestamp>,
+    /// The end of that interval; none: its beginning.
+    #[arg(long, value_name = "TIME")]
+    pub until: Option<Timestamp>,
+}
+
+#[derive(Subcommand, Clone, Debug)]
+pub enum Graphs {
+    /// Checks a file whole and shows its graph as a tree.
+    Check(Check),
+    /// Prints the jobs that a run would be, a line of JSON each.
+    Expand(Expand),
+    /// Prints a graph in the native form (YAML).
+    Convert(File),
+}
+
+fn param(text: &str) -> Result<(String, Value), String> {
+    let (name, value) = text.split_once('=').ok_or("must be NAME=VALUE")?;
+    let value = serde_json::from_str(value).unwrap_or_else(|_| Value::from(value));
+    Ok((name.to_string(), value))
+}
+
+fn text_of(path: &Path, problems: &mut Problems) -> Option<String> {
+    match std::fs::read_to_string(path) {
+        Ok(text) => Some(text),
+        Err(error) => {
+            problems.add(None, "", error.to_string());
+            None
+        }
+    }
+}
+
+/// Reads every graph of a file, whatever its form.
+pub fn read_file(path: &Path) -> Result<Vec<Graph>, Vec<Problem>> {
+    let shown = path.display().to_string();
+    let mut problems = Problems::of(&shown);
+    let Some(text) = text_of(path, &mut problems) else {
+        return Err(problems.into_list());
+    };
+    if path.extension().is_some_and(|e| e == "py") {
+        return snowshelf_dag_python::read(&text, &shown);
+    }
+    let value = serde_json::from_str::<Value>(&text).ok();
+    let graph = match value.filter(serialized::is_serialized) {
+        Some(value) => serialized::read(&value, &mut problems),
+        None => native::read(&text, &mut problems),
+    };
+    match graph.filter(|_| problems.is_empty()) {
+        Some(graph) => Ok(vec![graph]),
+        None => Err(problems.into_list()),
+    }
+}
+
+impl File {
+    fn shown(&self) -> String {
+        self.file.display().to_string()
+    }
+
+    fn read(&self) -> Result<Graph, Vec<Problem>> {
+        let graphs = read_file(&self.file)?;
+        let mut problems = Problems::of(&self.shown());
+        let names: Vec<String> = graphs.iter().map(|g| g.name.clone()).collect();
+        let several = names.len() > 1 && self.name.is_none();
+        let mut graphs = graphs.into_iter();
+        let found = graphs.find(|g| self.name.as_ref().is_none_or(|n| *n == g.name));
+        match found.filter(|_| !several) {
+            Some(graph) => Ok(graph),
+            None => {
+                let what = format!("has the graphs {}", names.join(", "));
+                problems.instead(None, "", what, "choose one with --name");
+                Err(problems.into_list())
+            }
+        }
+    }
+
+    fn mapping(&self) -> Result<Mapping, Vec<Problem>> {
+        let Some(path) = &self.mapping else {
+            return Ok(Mapping::default());
+        };
+        let mut problems = Problems::of(&path.display().to_string());
+        let text = text_of(path, &mut problems);
+        let mapping = text.and_then(|text| Mapping::read(&text, &mut problems));
+        mapping.ok_or_else(|| problems.into_list())
+    }
+
+    fn checked(&self) -> Result<(Graph, Mapping), Vec<Problem>> {
+        let (graph, mapping) = (self.read()?, self.mapping()?);
+        let mut problems = Problems::of(&self.shown());
+        check::check(&graph, &mapping, &mut problems);
+        match problems.is_empty() {
+            true => Ok((graph, mapping)),
+            false => Err(problems.into_list()),
+        }
+    }
+}
+
+impl Expand {
+    fn plan(&self) -> Result<Plan, Vec<Problem>> {
+        let (graph, mapping) = self.file.checked()?;
+        let from = self.from.unwrap_or_else(Timestamp::now);
+        let facts = RunFacts {
+            graph: graph.name.clone(),
+            run: self.run.clone(),
+            from,
+            until: self.until.unwrap_or(from),
+            zone: graph.time_zone.clone().unwrap_or_else(|| "UTC".to_string()),
+            params: self.param.iter().cloned().collect::<BTreeMap<_, _>>(),
+        };
+        expand(&graph, &mapping, &facts, &self.file.shown())
+    }
+}
+
+fn told(result: Result<String, Vec<Problem>>) -> Told {
+    match result {
+        Ok(out) => Told {
+            out,
+            err: String::new(),
+            end: End::Done,
+        },
+        Err(problems) => {
+            let lines: Vec<String> = problems.iter().map(|p| p.to_string()).collect();
+            Told {
+                out: String::new(),
+                err: format!(
+                    "{} cannot be taken:\n{}",
+                    files(&problems),
+                    lines.join("\n")
+                ),
+                end: End::Wrong,
+            }
+        }
+    }
+}
+
+fn files(problems: &[Problem]) -> String {
+    problems.first().map(|p| p.file.clone()).unwrap_or_default()
+}
+
+impl Graphs {
+    pub fn run(&self) -> Told {
+        match self {
+            Graphs::Check(command) => told(command.file.checked().map(|(graph, _)| {
+                if command.json {
+                    format!("{:#}", serde_json::to_value(&graph).unwrap_or_default())
+                } else if command.dot {
+                    show::dot(&graph)
+                } else if command.svg {
+                    show::svg(&graph)
+                } else {
+                    show::tree(&graph)
+                }
+            })),
+            Graphs::Expand(command) => told(command.plan().map(|plan| {
+                let lines: Vec<String> = plan.lines().map(|line| line.to_string()).collect();
+                lines.join("\n")
+            })),
+            Graphs::Convert(file) => told(file.read().map(|graph| native::write(&graph))),
+        }
+    }
+}
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -1,6 +1,7 @@
 //! The client side: requests to the controllers, and the commands that send them.
 
 pub mod calendar;
+pub mod graph;
 pub mod http;
 pub mod table;
 
@@ -37,3 +38,24 @@
         }
     }
 }
+
+/// What a command prints and how it ends.
+#[derive(Debug)]
+pub struct Told {
+    pub out: String,
+    pub err: String,
+    pub end: End,
+}
+
+impl Told {
+    /// Prints it, what went wrong to standard error.
+    pub fn print(&self) -> End {
+        if !self.out.is_empty() {
+            println!("{}", self.out);
+        }
+        if !self.err.is_empty() {
+            eprintln!("snowshelf: {}", self.err);
+        }
+        self.end
+    }
+}
--- a/crates/client/tests/commands.rs
+++ b/crates/client/tests/commands.rs
@@ -2,8 +2,9 @@
 
 use clap::Parser;
 use serde_json::{Value, json};
-use snowshelf_client::End;
-use snowshelf_client::calendar::{Reservations, Told, Windows};
+use snowshelf_client::calendar::{Reservations, Windows};
+use snowshelf_client::graph::Graphs;
+use snowshelf_client::{End, Told};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpListener;
 use std::sync::mpsc::{Receiver, channel};
@@ -14,6 +15,8 @@
     Reservations(Reservations),
     #[command(subcommand)]
     Windows(Windows),
+    #[command(subcommand)]
+    Graph(Graphs),
 }
 
 fn run(words: &str) -> Told {
@@ -21,6 +24,7 @@
     match Cli::try_parse_from(words) {
         Ok(Cli::Reservations(r)) => r.run(),
         Ok(Cli::Windows(w)) => w.run(),
+        Ok(Cli::Graph(g)) => g.run(),
         Err(error) => panic!("{error}"),
     }
 }
@@ -220,3 +224,72 @@
         assert!(Cli::try_parse_from(words).is_err());
     }
 }
+
+/// A graph file of any form is checked whole, shown, and expanded into the jobs that it would be.
+#[test]
+fn graphs_are_checked_shown_and_expanded() {
+    let dir = std::env::temp_dir().join(format!("snowshelf-graph-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let put = |name: &str, text: &str| {
+        let path = dir.join(name);
+        std::fs::write(&path, text).unwrap();
+        path.display().to_string()
+    };
+    let python = put(
+        "d.py",
+        "from airflow import DAG\nfrom airflow.operators.bash import BashOperator as B\n\
+        with DAG('harvest', schedule=None, params={'n': 2}) as d:\n    \
+        B(task_id='a', bash_command='x') >> B(task_id='b', bash_command='{{ params.n }}')\n",
+    );
+    let mapping = put(
+        "m.yaml",
+        "defaults: {class: c, team: t, cpus: '{{ params.n }}', mem_gb: 1, image: i, pull_gb: 1}\n",
+    );
+    let told = run(&format!("graph check {python} --mapping {mapping}"));
+    assert_eq!(told.end, End::Done, "{told:?}");
+    assert_eq!(told.out, "harvest\n`- a\n   `- b\n");
+    let told = run(&format!("graph check {python}"));
+    assert_eq!(told.end, End::Wrong);
+    assert!(
+        told.err.contains("d.py:4: a: its job has no class, team"),
+        "{}",
+        told.err
+    );
+    let told = run(&format!(
+        "graph expand {python} --mapping {mapping} --param n=4 --run r1"
+    ));
+    let lines: Vec<Value> = told
+        .out
+        .lines()
+        .map(|l| serde_json::from_str(l).unwrap())
+        .collect();
+    assert_eq!(lines.len(), 2, "{told:?}");
+    assert_eq!(
+        (&lines[1]["step"], &lines[1]["args"]["bash_command"]),
+        (&json!("b"), &json!("4"))
+    );
+    assert_eq!(
+        (
+            &lines[1]["submission"]["Cpus"],
+            &lines[1]["submission"]["Aguarda"][0]
+        ),
+        (&json!(4.0), &lines[0]["job"])
+    );
+    let told = run(&format!(
+        "graph expand {python} --mapping {mapping} --param m=4"
+    ));
+    assert!(
+        told.end == End::Wrong && told.err.contains("params.m"),
+        "{told:?}"
+    );
+    let native = run(&format!("graph convert {python}"));
+    let yaml = put("g.yaml", &native.out);
+    let told = run(&format!("graph check {yaml} --mapping {mapping} --json"));
+    assert_eq!(
+        serde_json::from_str::<Value>(&told.out).unwrap()["steps"][1]["after"],
+        json!(["a"])
+    );
+    let told = run(&format!("graph check {yaml} --mapping {mapping} --dot"));
+    assert!(told.out.contains("\"a\" -> \"b\""));
+    std::fs::remove_dir_all(&dir).unwrap();
+}
--- a/crates/dag/src/mapping.rs
+++ b/crates/dag/src/mapping.rs
@@ -44,6 +44,11 @@
     }
 }
 
+/// The JSON Schema of a mapping.
+pub fn schema() -> serde_json::Value {
+    serde_json::to_value(schemars::schema_for!(Mapping)).unwrap_or_default()
+}
+
 impl Mapping {
     pub fn read(text: &str, problems: &mut Problems) -> Option<Mapping> {
         crate::native::yaml(text, problems)
--- a/crates/dag/src/native.rs
+++ b/crates/dag/src/native.rs
@@ -66,3 +66,9 @@
     }
     Some(graph)
 }
+
+/// A graph as YAML.
+pub fn write(graph: &Graph) -> String {
+    let value = serde_json::to_value(graph).unwrap_or_default();
+    serde_norway::to_string(&value).unwrap_or_default()
+}
--- a/crates/dag/src/plan.rs
+++ b/crates/dag/src/plan.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 use snowshelf_model::ids::JobId;
-use snowshelf_model::protocol::user::{Submission, parse_submission};
+use snowshelf_model::protocol::user::{Submission, parse_submission, submission_body};
 use std::collections::{BTreeMap, HashMap};
 
 /// Jobs of a run, and needs of all of them together, at the most.
@@ -282,6 +282,14 @@
 }
 
 impl Plan {
+    /// The manifest with each job's submission, as a user would send it.
+    pub fn lines(&self) -> impl Iterator<Item = Value> + '_ {
+        self.manifest().zip(&self.jobs).map(|(mut line, job)| {
+            line["submission"] = submission_body(&job.submission);
+            line
+        })
+    }
+
     /// What each job was made from, one line of JSON each, in the order of submission.
     pub fn manifest(&self) -> impl Iterator<Item = Value> + '_ {
         self.jobs.iter().map(|j| {
--- a/crates/dag/tests/graphs.rs
+++ b/crates/dag/tests/graphs.rs
@@ -9,6 +9,7 @@
 use snowshelf_dag::problem::Problems;
 use snowshelf_dag::template::RunFacts;
 use snowshelf_dag::{native, serialized, show};
+use snowshelf_model::protocol::user::{parse_submission, submission_body};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 const HARVEST: &str = r#"
@@ -84,7 +85,10 @@
     );
     for i in of("weigh") {
         let weigh = &plan.jobs[i];
-        assert_eq!(weigh.submission.needs, [tally.submission.job.clone()]);
+        assert_eq!(
+            weigh.submission.needs,
+            std::slice::from_ref(&tally.submission.job)
+        );
         assert_eq!(weigh.wave, 0);
     }
     let last = &plan.jobs[of("weigh")[5]];
@@ -103,6 +107,11 @@
         (mail.wave, &mail.submission.needs[..]),
         (1, &[sheet.submission.job.clone()][..])
     );
+    for job in &plan.jobs {
+        // What is shown to users reads as the submission that it is.
+        let body = submission_body(&job.submission).to_string();
+        assert_eq!(parse_submission(body.as_bytes()).unwrap(), job.submission);
+    }
     let manifest: Vec<Value> = plan.manifest().collect();
     assert_eq!(manifest[1]["sweep"], json!({"scale": "a", "shift": 1}));
     assert_eq!(manifest[1]["job"], plan.jobs[1].submission.job.as_str());
--- a/crates/model/src/protocol/user.rs
+++ b/crates/model/src/protocol/user.rs
@@ -202,6 +202,44 @@
     })
 }
 
+/// A submission as its user sends it: what `parse_submission` reads.
+pub fn submission_body(submission: &Submission) -> Value {
+    let spec = &submission.spec;
+    let kind = match spec.kind {
+        Kind::Batch => "batch",
+        Kind::Standing => "standing",
+    };
+    let priority = match spec.priority {
+        Priority::Prod => "prod",
+        Priority::High => "high",
+        Priority::Normal => "normal",
+        Priority::Idle => "idle",
+    };
+    json!({
+        "Ref": submission.job.as_str(),
+        "Lote": spec.class,
+        "Cuadrilla": spec.team.as_str(),
+        "Feitio": kind,
+        "Precedencia": priority,
+        "Tarefas": spec.tasks,
+        "Cpus": spec.room.cpus,
+        "Gpus": spec.room.gpus,
+        "MemGb": spec.room.mem,
+        "Matriz": spec.image,
+        "PullGb": spec.pull_gb,
+        "Modelos": spec.types,
+        "Parcela": spec.zone,
+        "Together": spec.together,
+        "Apart": spec.apart,
+        "Avulsas": spec.spot,
+        "PrevisaoS": spec.estimate_s,
+        "MarcoS": spec.checkpoint_s,
+        "GuardaS": spec.save_s,
+        "PrazoS": spec.deadline_s,
+        "Aguarda": submission.needs,
+    })
+}
+
 /// The word a user reads for a job's state.
 pub fn state_word(state: JobState, running: u32) -> &'static str {
     match state {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,9 +1,10 @@
 //! The command line; everything else is in the library.
 
-use clap::{Args, Parser, Subcommand};
+use clap::{Args, Parser, Subcommand, ValueEnum};
 use snowshelf::operator::OperatorSettings;
 use snowshelf::settings::Settings;
 use snowshelf_client::calendar::{Reservations, Windows};
+use snowshelf_client::graph::Graphs;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -31,14 +32,28 @@
 enum Command {
     /// Validates settings and says what is wrong with them.
     Check(Files),
-    /// Prints the JSON Schema of the operators' own settings.
-    Schema,
+    /// Prints a JSON Schema: of the operators' own settings, of a graph, or of a mapping.
+    Schema {
+        #[arg(value_enum, default_value_t = Described::Operator)]
+        of: Described,
+    },
     /// Capacity reserved ahead: lists, makes, changes and cancels it.
     #[command(subcommand)]
     Reservations(Reservations),
     /// Maintenance windows: lists, declares, changes and cancels them.
     #[command(subcommand)]
     Windows(Windows),
+    /// Graphs of steps, as other tools write them: checked, shown, expanded.
+    #[command(subcommand)]
+    Graph(Graphs),
+}
+
+/// What a schema describes.
+#[derive(Clone, Copy, ValueEnum)]
+enum Described {
+    Operator,
+    Graph,
+    Mapping,
 }
 
 fn load(files: &Files) -> Result<(Settings, OperatorSettings), String> {
@@ -57,10 +72,16 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let files = match (&cli.command, &cli.files) {
-        (Some(Command::Schema), _) => {
-            println!("{:#}", OperatorSettings::schema());
+        (Some(Command::Schema { of }), _) => {
+            let schema = match of {
+                Described::Operator => OperatorSettings::schema(),
+                Described::Graph => snowshelf_dag::native::schema(),
+                Described::Mapping => snowshelf_dag::mapping::schema(),
+            };
+            println!("{schema:#}");
             return ExitCode::SUCCESS;
         }
+        (Some(Command::Graph(command)), _) => return command.run().print().into(),
         (Some(Command::Reservations(command)), _) => return command.run().print().into(),
         (Some(Command::Windows(command)), _) => return command.run().print().into(),
         (Some(Command::Check(files)), _) | (None, Some(files)) => files,
