What a run does next is decided by a pure function of its plan and what is seen of its jobs

Need: trigger rules, failures and cancellation of a run, the same whoever works them out. Change: snowshelf-dag decides which jobs to submit, which of its own to cancel, where each step stands and how the run ended. Result: drawn graphs with drawn rules, failures, orders and cancellations end, each step as its rule says of those above it.

--- a/crates/dag/src/lib.rs
+++ b/crates/dag/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod native;
 pub mod plan;
 pub mod problem;
+pub mod run;
 pub mod serialized;
 pub mod show;
 pub mod sweep;
--- a/crates/dag/tests/graphs.rs
+++ b/crates/dag/tests/graphs.rs
@@ -7,6 +7,7 @@
 use snowshelf_dag::mapping::Mapping;
 use snowshelf_dag::plan::{Plan, expand, job_id};
 use snowshelf_dag::problem::Problems;
+use snowshelf_dag::run::{End, Seen, Stand, decide};
 use snowshelf_dag::template::RunFacts;
 use snowshelf_dag::{native, serialized, show};
 use snowshelf_model::protocol::user::{parse_submission, submission_body};
@@ -488,6 +489,113 @@
     assert!(svg.contains(">weigh x6<") && svg.ends_with("</svg>\n"));
 }
 
+/// A world of jobs that ends them as it is told, and cancels with each what needs it.
+fn played(
+    plan: &Plan,
+    fails: &BTreeSet<usize>,
+    order: &[usize],
+    stop_at: Option<usize>,
+) -> (Vec<Stand>, End, usize) {
+    let mut seen = vec![Seen::Not; plan.jobs.len()];
+    let mut failed = BTreeSet::new();
+    let mut cancelled = false;
+    for round in 0..10_000 {
+        cancelled |= stop_at == Some(round);
+        let decision = decide(plan, &seen, &failed, cancelled, None, 3);
+        if let Some(end) = decision.end {
+            return (decision.stands, end, round);
+        }
+        for i in decision.submit {
+            assert_eq!(seen[i], Seen::Not);
+            // What it needs was submitted before.
+            let needs = &plan.jobs[i].submission.needs;
+            let aborted = needs.iter().any(|n| {
+                let at = plan
+                    .jobs
+                    .iter()
+                    .position(|j| j.submission.job == *n)
+                    .unwrap();
+                assert_ne!(seen[at], Seen::Not);
+                seen[at] == Seen::Aborted
+            });
+            seen[i] = if aborted { Seen::Aborted } else { Seen::Open };
+        }
+        for i in decision.cancel {
+            seen[i] = Seen::Aborted;
+        }
+        // Some job that may run ends, or fails for good.
+        let ready = |i: &usize| {
+            seen[*i] == Seen::Open
+                && plan.jobs[*i].submission.needs.iter().all(|n| {
+                    let at = plan
+                        .jobs
+                        .iter()
+                        .position(|j| j.submission.job == *n)
+                        .unwrap();
+                    seen[at] == Seen::Done
+                })
+        };
+        let open: Vec<usize> = (0..seen.len()).filter(ready).collect();
+        if let Some(i) = open.get(order[round % order.len()] % open.len().max(1)) {
+            if fails.contains(i) {
+                failed.insert(*i);
+            } else {
+                seen[*i] = Seen::Done;
+            }
+        }
+        // Cancellations go down.
+        for (i, job) in plan.jobs.iter().enumerate() {
+            let above = job.submission.needs.iter().any(|n| {
+                let at = plan
+                    .jobs
+                    .iter()
+                    .position(|j| j.submission.job == *n)
+                    .unwrap();
+                seen[at] == Seen::Aborted
+            });
+            if above && seen[i] == Seen::Open {
+                seen[i] = Seen::Aborted;
+            }
+        }
+    }
+    panic!("the run never ends");
+}
+
+/// A step that fails for good while those below it wait: they never run, what must run however it ends
+/// does, and the run has failed only if its last steps have.
+#[test]
+fn a_failed_step_stops_what_is_below_it() {
+    let plan = planned(&graph(HARVEST), json!({})).unwrap();
+    let at = |step: &str, copy| {
+        plan.jobs
+            .iter()
+            .position(|j| j.step == step && j.copy == copy)
+            .unwrap()
+    };
+    let (stands, end, _) = played(&plan, &BTreeSet::from([at("weigh", Some(3))]), &[0], None);
+    assert_eq!(stands[at("weigh", Some(3))], Stand::Failed);
+    assert_eq!(
+        (stands[at("weigh", Some(4))], stands[at("sheet", None)], end),
+        (Stand::Success, Stand::Success, End::Success)
+    );
+    let (stands, end, _) = played(&plan, &BTreeSet::from([at("tally", None)]), &[0], None);
+    assert!((0..6).all(|c| stands[at("weigh", Some(c))] == Stand::UpstreamFailed));
+    assert_eq!(
+        (stands[at("mail", None)], end),
+        (Stand::Success, End::Success)
+    );
+    let (stands, end, _) = played(&plan, &BTreeSet::from([at("sheet", None)]), &[0], None);
+    assert_eq!(
+        (stands[at("mail", None)], end),
+        (Stand::UpstreamFailed, End::Failed)
+    );
+    // Somebody else's job of the same name is no step of the run, and is left alone.
+    let mut seen = vec![Seen::Not; plan.jobs.len()];
+    seen[0] = Seen::Foreign;
+    let decision = decide(&plan, &seen, &BTreeSet::new(), true, None, 9);
+    assert!(decision.cancel.is_empty() && decision.stands[0] == Stand::Failed);
+}
+
 fn fixed(cases: u32) -> Config {
     Config {
         cases,
@@ -570,6 +678,52 @@
         }
     }
 
+    /// Whatever fails, in whatever order, and whenever the run is cancelled: it ends, every step has one
+    /// end, and that is what its trigger rule says of those above it.
+    #[test]
+    fn a_run_ends_as_its_trigger_rules_say(
+        n in 1..9usize,
+        edges in prop::collection::vec((0..8usize, 0..8usize), 0..14),
+        triggers in prop::collection::vec(0..8usize, 9),
+        fails in prop::collection::btree_set(0..9usize, 0..4),
+        order in prop::collection::vec(0..9usize, 1..6),
+        stop_at in prop::option::weighted(0.2, 0..12usize),
+    ) {
+        // Edges go forward only, so that there is no cycle.
+        let edges: Vec<(usize, usize)> = edges.into_iter().map(|(a, b)| (a % n, b % n)).filter(|(a, b)| a < b).collect();
+        let mut g = drawn(&edges, n, &[1; 12]);
+        for (i, step) in g.steps.iter_mut().enumerate() {
+            step.trigger = [Trigger::AllDone, Trigger::NoneFailed, Trigger::OneFailed].get(triggers[i]).copied().unwrap_or_default();
+        }
+        g.defaults.job = serde_json::from_value(json!({"class": "c", "team": "t", "cpus": 1, "mem_gb": 1,
+            "image": "i", "pull_gb": 1})).unwrap();
+        let plan = planned(&g, json!({})).unwrap();
+        let (stands, end, rounds) = played(&plan, &fails, &order, stop_at);
+        if stop_at.is_some_and(|at| at <= rounds) {
+            prop_assert_eq!(end, End::Cancelled);
+            return Ok(());
+        }
+        for (i, job) in plan.jobs.iter().enumerate() {
+            let above: Vec<Stand> = job.after.iter().map(|a| stands[*a]).collect();
+            let lost = above.iter().any(|s| matches!(s, Stand::Failed | Stand::UpstreamFailed));
+            let skipped = above.contains(&Stand::Skipped);
+            let runs = match job.trigger {
+                Trigger::AllSuccess => !lost && !skipped,
+                Trigger::AllDone => true,
+                Trigger::NoneFailed => !lost,
+                Trigger::OneFailed => lost,
+            };
+            let own = if fails.contains(&i) { Stand::Failed } else { Stand::Success };
+            if runs {
+                prop_assert_eq!(stands[i], own, "{}", i);
+            } else {
+                prop_assert!(matches!(stands[i], Stand::UpstreamFailed | Stand::Skipped), "{} {:?}", i, stands[i]);
+            }
+        }
+        let leaf_lost = (0..n).any(|i| !plan.jobs.iter().any(|j| j.after.contains(&i)) && matches!(stands[i], Stand::Failed | Stand::UpstreamFailed));
+        prop_assert_eq!(end, if leaf_lost { End::Failed } else { End::Success });
+    }
+
     #[test]
     fn no_text_ends_the_process(text in "\\PC{0,200}", cut in 0..1200usize, put in "[\\[\\]{}:,\"a-z0-9 -]{0,12}") {
         let mut problems = Problems::of("f");
