--- a/crates/dag/src/lib.rs
+++ b/crates/dag/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod graph;
 pub mod mapping;
 pub mod native;
+pub mod packing;
 pub mod plan;
 pub mod problem;
 pub mod run;
--- a/crates/model/src/protocol/peer.rs
+++ b/crates/model/src/protocol/peer.rs
@@ -43,6 +43,18 @@
     /// What is kept for teams; not counted in `free_cpus`.
     #[prost(message, repeated, tag = "7")]
     pub kept: Vec<KeptHint>,
+    /// Jobs of graphs' runs that fail there.
+    #[prost(message, repeated, tag = "8")]
+    pub failing: Vec<FailingHint>,
+}
+
+/// How often the worst task of a job has failed.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct FailingHint {
+    #[prost(string, tag = "1")]
+    pub job: String,
+    #[prost(uint32, tag = "2")]
+    pub errors: u32,
 }
 
 /// How many machines of a zone and type a part has.
--- a/crates/model/src/records/format.rs
+++ b/crates/model/src/records/format.rs
@@ -27,6 +27,10 @@
     pub fn calendar() -> Capability {
         Capability("calendar".to_string())
     }
+    /// Runs of graphs.
+    pub fn graphs() -> Capability {
+        Capability("graphs".to_string())
+    }
     pub fn named(name: &str) -> Capability {
         Capability(name.to_string())
     }
--- a/crates/model/src/records/job.rs
+++ b/crates/model/src/records/job.rs
@@ -77,6 +77,9 @@
     /// So many values of their own hold what it needs, if that is too long for this one.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub needs_pieces: u32,
+    /// Whether a graph's run has submitted it: nobody else's job is ever a run's.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub run: bool,
     /// When it was done; only in the wide format.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ended: Option<WallMs>,
--- a/crates/model/src/records/mod.rs
+++ b/crates/model/src/records/mod.rs
@@ -7,6 +7,7 @@
 pub mod packed;
 mod quota;
 mod room;
+mod run;
 mod share;
 mod terms;
 
@@ -19,5 +20,6 @@
 pub use owner::PartRecord;
 pub use quota::{Grant, QuotaRecord};
 pub use room::Room;
+pub use run::{RunId, RunRecord, RunState, plan_key, run_key};
 pub use share::{Alloc, Step, StepKind};
 pub use terms::Terms;
--- /dev/null
+++ b/crates/model/src/records/run.rs
@@ -0,0 +1,84 @@
+//! What the state service keeps of a graph's run.
+
+use crate::ids::WallMs;
+use crate::spans::Spans;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// A run of a graph.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub struct RunId {
+    pub graph: String,
+    pub run: String,
+}
+
+/// Bytes of each name at the most, so that the keys of a run are no longer than keys may be.
+const MOST_BYTES: usize = 64;
+
+fn sound(name: &str) -> bool {
+    (1..=MOST_BYTES).contains(&name.len())
+        && name
+            .bytes()
+            .all(|b| b.is_ascii_alphanumeric() || b"._:+-".contains(&b))
+        && name.as_bytes()[0].is_ascii_alphanumeric()
+}
+
+impl RunId {
+    pub fn new(graph: &str, run: &str) -> Option<RunId> {
+        (sound(graph) && sound(run)).then(|| RunId {
+            graph: graph.to_string(),
+            run: run.to_string(),
+        })
+    }
+
+    /// From `graph/run`.
+    pub fn parse(text: &str) -> Option<RunId> {
+        let (graph, run) = text.split_once('/')?;
+        RunId::new(graph, run)
+    }
+}
+
+impl fmt::Display for RunId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.graph, self.run)
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum RunState {
+    Open,
+    Success,
+    Failed,
+    Cancelled,
+}
+
+/// `run/<graph>/<run>`. What was asked for stands in pieces of their own, under the hash of it.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct RunRecord {
+    pub state: RunState,
+    pub at: WallMs,
+    pub jobs: u32,
+    pub hash: String,
+    pub pieces: u32,
+    /// Whether its user has cancelled it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub cancel: bool,
+    /// Jobs that have failed for good, by their place in the plan.
+    #[serde(default, skip_serializing_if = "Spans::is_empty")]
+    pub failed: Spans,
+    /// How many ended how, once it has ended.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub counts: BTreeMap<String, u32>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ended: Option<WallMs>,
+}
+
+pub fn run_key(run: &RunId) -> String {
+    format!("run/{run}")
+}
+
+/// One piece of what a run was asked for.
+pub fn plan_key(run: &RunId, hash: &str, piece: u32) -> String {
+    format!("plan/{run}/{hash}/{piece}")
+}
--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -9,7 +9,8 @@
 use snowshelf_model::protocol::cloud::MachineType;
 use snowshelf_model::records::{
     Alloc, CALENDAR_KEY, Capability, FORMAT_KEY, Format, FormatRecord, JobRecord, JobState,
-    LEADER_KEY, PartRecord, QuotaRecord, WIDE, alloc_key, job_key, member_key, part_key, quota_key,
+    LEADER_KEY, PartRecord, QuotaRecord, RunId, RunRecord, WIDE, alloc_key, job_key, member_key,
+    part_key, plan_key, quota_key, run_key,
 };
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
@@ -47,6 +48,7 @@
     Reservation(Name),
     Window(Name),
     Calendar,
+    Run(RunId),
 }
 
 /// What is remembered of a job that has ended.
@@ -56,6 +58,20 @@
     pub tasks: u32,
     /// When it was done, if its record says so.
     pub ended: Option<WallMs>,
+    /// Whether a graph's run has submitted it.
+    pub run: bool,
+}
+
+impl Final {
+    /// What is remembered of a record that has ended.
+    pub fn of(record: &JobRecord) -> Final {
+        Final {
+            state: record.state,
+            tasks: record.tasks,
+            ended: record.ended,
+            run: record.run,
+        }
+    }
 }
 
 #[derive(Default)]
@@ -77,6 +93,9 @@
     pub reservations: BTreeMap<Name, Versioned<Reservation>>,
     pub windows: BTreeMap<Name, Versioned<Window>>,
     pub calendar: Version,
+    /// Runs of graphs, and pieces of what they were asked for, by hash, while they are open.
+    pub runs: BTreeMap<RunId, Versioned<RunRecord>>,
+    pub plans: BTreeMap<(RunId, String, u32), Rc<String>>,
     /// Counts the changes of jobs' records.
     pub job_changes: u64,
     finals: HashMap<JobId, Final>,
@@ -130,11 +149,7 @@
             return;
         }
         self.needs.retain(|(of, _), _| of != job);
-        let end = Final {
-            state: record.state,
-            tasks: record.tasks,
-            ended: record.ended,
-        };
+        let end = Final::of(record);
         if self.finals.insert(job.clone(), end).is_none() {
             self.finals_order.push_back(job.clone());
             if self.finals_order.len() > FINALS_KEPT
@@ -238,6 +253,18 @@
             set(&mut self.windows, name.clone(), key, value, version);
             return Some(Changed::Window(name));
         }
+        if let Some(run) = key.strip_prefix("run/").and_then(RunId::parse) {
+            set(&mut self.runs, run.clone(), key, value, version);
+            return Some(Changed::Run(run));
+        }
+        if let Some((run, hash, piece)) = split_plan(key) {
+            let id = (run.clone(), hash, piece);
+            match value.and_then(|v| read::<String>(key, v)) {
+                Some(text) => self.plans.insert(id, Rc::new(text)),
+                None => self.plans.remove(&id),
+            };
+            return Some(Changed::Run(run));
+        }
         if key == CALENDAR_KEY {
             self.calendar = version;
             return Some(Changed::Calendar);
@@ -284,6 +311,8 @@
         known.extend(self.parts.keys().map(|p| part_key(*p)));
         known.extend(self.quotas.keys().map(quota_key));
         known.extend(self.members.keys().map(member_key));
+        known.extend(self.runs.keys().map(run_key));
+        known.extend(self.plans.keys().map(|(r, h, n)| plan_key(r, h, *n)));
         known.extend(self.reservations.keys().map(reservation_key));
         known.extend(self.windows.keys().map(window_key));
         known.extend(self.leader.iter().map(|_| LEADER_KEY.to_string()));
@@ -369,6 +398,13 @@
     }
 }
 
+/// `plan/<graph>/<run>/<hash>/<piece>`.
+fn split_plan(key: &str) -> Option<(RunId, String, u32)> {
+    let (rest, piece) = key.strip_prefix("plan/")?.rsplit_once('/')?;
+    let (run, hash) = rest.rsplit_once('/')?;
+    Some((RunId::parse(run)?, hash.to_string(), piece.parse().ok()?))
+}
+
 fn split_alloc(key: &str) -> Option<(PartId, JobId)> {
     let (part, job) = key.strip_prefix("alloc/")?.split_once('/')?;
     Some((PartId(part.parse().ok()?), JobId::new(job)))
--- a/src/coordination/controller/answers.rs
+++ b/src/coordination/controller/answers.rs
@@ -187,6 +187,18 @@
                 let jobs = self.with_gateway(|gateway, env| gateway.cascaded(id, result, env));
                 self.changed(jobs.into_iter().map(Changed::Job).collect());
             }
+            (Tag::RunBegin, Reply::Txn(result)) => {
+                self.with_runs(|runs, env| runs.begun(result, env));
+            }
+            (Tag::RunAsk(id), Reply::Txn(result)) => {
+                self.with_runs(|runs, env| runs.answered(id, result, env));
+            }
+            (Tag::RunCancel(id), Reply::Txn(result)) => {
+                self.with_runs(|runs, env| runs.cancelled(id, result, env));
+            }
+            (Tag::RunWrite(id), Reply::Txn(result)) => {
+                self.with_runs(|runs, env| runs.written(id, result, env));
+            }
             (Tag::Bookings(id), Reply::Txn(result)) => {
                 let changed = self.with_bookings(|b, env| b.done(id, result, env));
                 self.changed(changed);
--- a/src/coordination/controller/mod.rs
+++ b/src/coordination/controller/mod.rs
@@ -12,6 +12,7 @@
 use super::ownership::Ownership;
 use super::peers::Peers;
 use super::reader::Reader;
+use super::runs::Runs;
 use super::shard::Shard;
 use super::upgrade::{Upgrade, terms};
 use crate::bookkeeping::mirror::Mirror;
@@ -57,6 +58,7 @@
     shards: BTreeMap<PartId, Shard>,
     gateway: Gateway,
     bookings: Bookings,
+    runs: Runs,
     /// What placement and renting keep to of the calendar.
     guard: Guard,
     fleet: Option<Fleet>,
@@ -104,6 +106,7 @@
             shards: BTreeMap::new(),
             gateway: Gateway::default(),
             bookings: Bookings::default(),
+            runs: Runs::default(),
             guard: Guard::default(),
             fleet: None,
             peers: Peers::default(),
@@ -182,6 +185,13 @@
         result
     }
 
+    fn with_runs<T>(&mut self, f: impl FnOnce(&mut Runs, &mut Env) -> T) -> T {
+        let mut runs = std::mem::take(&mut self.runs);
+        let result = f(&mut runs, &mut self.env());
+        self.runs = runs;
+        result
+    }
+
     fn with_shard(&mut self, part: PartId, f: impl FnOnce(&mut Shard, &mut Env)) {
         let Some(mut shard) = self.shards.remove(&part) else {
             return;
--- a/src/coordination/controller/regular.rs
+++ b/src/coordination/controller/regular.rs
@@ -9,7 +9,7 @@
 use crate::coordination::upgrade::terms;
 use crate::outbox::Output;
 use snowshelf_model::ids::{JobId, PartId, Team, WallMs, seconds_to_ms};
-use snowshelf_model::protocol::peer::{Hint, KeptHint, PartHint, PoolHint};
+use snowshelf_model::protocol::peer::{FailingHint, Hint, KeptHint, PartHint, PoolHint};
 use snowshelf_model::records::{JobSpec, job_key};
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -64,12 +64,16 @@
             kept.extend(own.map(|(team, k)| ((s.part, team.clone()), k.promised)));
         }
         let away = self.state_silent_ms() >= UNSERVED_MS;
+        if !away && fresh {
+            self.tick_runs();
+        }
         let mut gateway = std::mem::take(&mut self.gateway);
         gateway.rooms = rooms;
         gateway.kept = kept;
         gateway.flush_polls(&mut self.env());
         gateway.flush_pieces(&mut self.env());
         if away {
+            self.with_runs(|runs, env| runs.refuse_all(env));
             gateway.refuse_all(&mut self.env());
         } else {
             gateway.flush(&mut self.env());
@@ -113,6 +117,23 @@
         }
     }
 
+    fn tick_runs(&mut self) {
+        if !self.mirror.loaded || self.types.is_empty() {
+            return;
+        }
+        let mut errors = self.peers.failing(self.out.now);
+        for shard in self.shards.values() {
+            errors.extend(shard.failing().map(|(job, n)| (job.clone(), n)));
+        }
+        let mut runs = std::mem::take(&mut self.runs);
+        let mut gateway = std::mem::take(&mut self.gateway);
+        let own = std::mem::take(&mut self.own);
+        runs.tick(&own, &errors, &mut gateway, &mut self.env());
+        self.own = own;
+        self.gateway = gateway;
+        self.runs = runs;
+    }
+
     fn tick_bookings(&mut self) {
         let leads = self.fleet.is_some() && self.own.fresh(self.out.now);
         let away = self.state_silent_ms() >= UNSERVED_MS;
@@ -236,6 +257,14 @@
                 } else {
                     pool_hints(shard)
                 },
+                failing: shard
+                    .failing()
+                    .take(MOST_FAILING)
+                    .map(|(job, errors)| FailingHint {
+                        job: job.as_str().to_string(),
+                        errors,
+                    })
+                    .collect(),
                 kept: shard
                     .kept_room
                     .iter()
@@ -273,6 +302,9 @@
     }
 }
 
+/// Failing jobs told of at once.
+const MOST_FAILING: usize = 100;
+
 fn pool_hints(shard: &Shard) -> Vec<PoolHint> {
     let pools = shard.pools().into_iter();
     pools
--- a/src/coordination/controller/requests.rs
+++ b/src/coordination/controller/requests.rs
@@ -3,6 +3,7 @@
 use super::{Controller, UNSERVED_MS};
 use crate::coordination::bookings::{Asked, read_ask};
 use crate::coordination::env::ReadFor;
+use crate::coordination::runs;
 use crate::outbox::{Request, Response};
 use serde_json::json;
 use snowshelf_model::ids::{ConnId, JobId, part_of};
@@ -35,6 +36,12 @@
                     self.asked(conn, asked);
                     return;
                 }
+                if self.cfg.ops.graphs.enabled
+                    && let Some(read) = runs::read(method, &request.path, &request.body)
+                {
+                    self.graphs(conn, read);
+                    return;
+                }
                 let Some(rest) = path.strip_prefix("/api/jobs/") else {
                     let body = user::error("no such path");
                     self.out.respond(conn, Response::new(404, body));
@@ -82,6 +89,24 @@
         self.out.respond(conn, response);
     }
 
+    /// A request to graphs' runs.
+    fn graphs(&mut self, conn: ConnId, read: runs::Read) {
+        let told = |status, why: &str| Response::new(status, user::error(why));
+        let response = match read {
+            runs::Read::Ask(_) if self.state_silent_ms() >= UNSERVED_MS => {
+                Response::later(503, "the state service is away", 2)
+            }
+            runs::Read::Ask(ask) => {
+                self.with_runs(|runs, env| runs.take(conn, ask, env));
+                return;
+            }
+            runs::Read::Malformed(why) => told(400, &why),
+            runs::Read::NoSuchPath => told(404, "no such path"),
+            runs::Read::WrongMethod => told(405, "this path does not take that method"),
+        };
+        self.out.respond(conn, response);
+    }
+
     fn wrong_method(&mut self, conn: ConnId) {
         let body = user::error("this path does not take that method");
         self.out.respond(conn, Response::new(405, body));
--- a/src/coordination/env.rs
+++ b/src/coordination/env.rs
@@ -41,6 +41,12 @@
     Cascade(u64),
     /// Requests to the calendar, decided together.
     Bookings(u64),
+    /// A part of a run's beginning.
+    RunBegin,
+    /// Whether the picture of a run is behind, for a question.
+    RunAsk(u64),
+    RunCancel(u64),
+    RunWrite(u64),
     /// An entry that was over goes: its key.
     BookingsTidy(String),
     GiveUp(PartId),
--- a/src/coordination/gateway/accepting.rs
+++ b/src/coordination/gateway/accepting.rs
@@ -164,6 +164,11 @@
             TxnResult::Conflict(keys) => {
                 for accept in batch {
                     if keys.contains(&job_key(&accept.job)) {
+                        if accept.run {
+                            // It is there already, or somebody else's is.
+                            let tag = Tag::Needed(None, accept.job.clone());
+                            env.store.get(env.out, tag, &job_key(&accept.job), 1_500);
+                        }
                         for conn in accept.conns {
                             self.read(conn, &accept.job, ReadFor::Resubmit, env);
                         }
@@ -255,6 +260,7 @@
         needs: Vec::new(),
         needs_pieces: accept.pieces,
         ended: None,
+        run: accept.run,
     };
     if accept.needs.iter().any(lost) {
         let parts = Vec::new();
--- a/src/coordination/gateway/cancelling.rs
+++ b/src/coordination/gateway/cancelling.rs
@@ -30,6 +30,7 @@
                     state: JobState::Cancelled,
                     tasks: 0,
                     ended: None,
+                    run: false,
                 };
                 self.tell_final(cancel.conn, &cancel.job, end, cancel.why, env);
                 Some(cancel.job)
@@ -59,14 +60,19 @@
         let most = env.terms.txn_ops.min(env.store.room(now, Class::Accept));
         let mut txn = Txn::default();
         let mut batch = Vec::new();
-        for job in &env.graph.doomed {
+        self.own_cancels.retain(|job| {
+            let known = env.mirror.jobs.get(job);
+            known.is_some_and(|v| !v.value.is_final())
+        });
+        for job in env.graph.doomed.iter().chain(&self.own_cancels) {
             if txn.changes.len() >= most {
                 break;
             }
             let Some(v) = env.mirror.jobs.get(job) else {
                 continue;
             };
-            let ours = v.value.parts.first().is_some_and(|p| mine.contains(p));
+            let own = self.own_cancels.contains(job) && v.value.run;
+            let ours = own || v.value.parts.first().is_some_and(|p| mine.contains(p));
             if v.value.is_final() || !ours || self.left_alone.contains_key(job) {
                 continue;
             }
@@ -92,7 +98,7 @@
         match result {
             TxnResult::Done(revision) => {
                 for (job, value) in &batch {
-                    tracing::info!(job = %job, "cancelled, as a job that it needs is");
+                    tracing::info!(job = %job, "cancelled, as a job that it needs is, or its run says");
                     env.mirror.apply(&job_key(job), Some(value), revision);
                 }
                 return batch.into_iter().map(|(job, _)| job).collect();
--- a/src/coordination/gateway/mod.rs
+++ b/src/coordination/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod submitting;
 
 pub use split::split;
+pub use submitting::never_runs;
 
 use super::env::ReadFor;
 use super::peers::PartRoom;
@@ -23,6 +24,8 @@
     /// What it needs has been written in so many values of their own.
     pieces: u32,
     since: Millis,
+    /// A graph's run submits it; nobody waits for an answer.
+    run: bool,
 }
 
 /// A submission whose needs are being written in pieces, before its own key makes them count.
@@ -59,6 +62,8 @@
     /// Cancellations of jobs that need a cancelled one, underway.
     cascades: HashMap<u64, Vec<(JobId, serde_json::Value)>>,
     cascade_at: Millis,
+    /// Jobs of runs that these want cancelled.
+    pub own_cancels: BTreeSet<JobId>,
     /// Jobs that the cascade leaves alone until then.
     left_alone: HashMap<JobId, Millis>,
     dividing: BTreeMap<u64, Dividing>,
--- a/src/coordination/gateway/reading.rs
+++ b/src/coordination/gateway/reading.rs
@@ -191,11 +191,7 @@
         };
         env.mirror.apply(&item.key, Some(&item.value), item.version);
         if record.is_final() {
-            let end = Final {
-                state: record.state,
-                tasks: record.tasks,
-                ended: record.ended,
-            };
+            let end = Final::of(&record);
             self.tell_final(conn, job, end, why, env);
             return;
         }
--- a/src/coordination/gateway/submitting.rs
+++ b/src/coordination/gateway/submitting.rs
@@ -12,6 +12,8 @@
 /// Most jobs that a submission may need and that are looked up for it; the change feed brings the
 /// others soon.
 const LOOKED_UP: usize = 16;
+/// Submissions that may wait beside one of a run.
+const OWN_WAITING: usize = 4;
 /// Keys that accepting a job mostly writes: its own and one or two shares.
 const WRITES_A_JOB: usize = 3;
 
@@ -66,11 +68,6 @@
             env.out.respond(conn, later);
             return;
         }
-        let unknown: BTreeSet<JobId> = needs
-            .iter()
-            .filter(|n| !known && !env.mirror.knows_job(n))
-            .cloned()
-            .collect();
         let accept = Accept {
             conns: vec![conn],
             job,
@@ -78,22 +75,66 @@
             needs,
             pieces: 0,
             since: env.now(),
+            run: false,
         };
+        if let Err(later) = self.take(accept, known, env) {
+            env.out.respond(conn, later);
+        }
+    }
+
+    /// Takes a submission in: at once, or when the jobs that it needs have been looked up.
+    fn take(&mut self, accept: Accept, known: bool, env: &mut Env) -> Result<(), Response> {
+        let unknown: BTreeSet<JobId> = accept
+            .needs
+            .iter()
+            .filter(|n| !known && !env.mirror.knows_job(n))
+            .cloned()
+            .collect();
         if unknown.is_empty() {
             self.queue.push_back(accept);
-        } else if unknown.len() > LOOKED_UP || !env.store.may(env.now(), Class::Accept, 0) {
-            let later = Response::later(503, "jobs that it needs are not known here yet", 1);
-            env.out.respond(conn, later);
-        } else {
-            // The mirror's silence proves nothing: a job accepted a moment ago has not come yet, and
-            // one that ended long ago may have been dropped.
-            self.next += 1;
-            for need in &unknown {
-                let tag = Tag::Needed(Some(self.next), need.clone());
-                env.store.get(env.out, tag, &job_key(need), 1_500);
-            }
-            self.checking.insert(self.next, (accept, unknown));
+            return Ok(());
+        }
+        if unknown.len() > LOOKED_UP || !env.store.may(env.now(), Class::Accept, 0) {
+            let why = "jobs that it needs are not known here yet";
+            return Err(Response::later(503, why, 1));
+        }
+        // The mirror's silence proves nothing: a job accepted a moment ago has not come yet, and
+        // one that ended long ago may have been dropped.
+        self.next += 1;
+        for need in &unknown {
+            let tag = Tag::Needed(Some(self.next), need.clone());
+            env.store.get(env.out, tag, &job_key(need), 1_500);
+        }
+        self.checking.insert(self.next, (accept, unknown));
+        Ok(())
+    }
+
+    /// Takes a job of a graph's run, with room that users' submissions leave; false if not now. Once
+    /// it is accepted the mirror has it; a try that fails is made again by the run.
+    pub fn submit_own(&mut self, submission: &Submission, env: &mut Env) -> bool {
+        let job = &submission.job;
+        let queued = self.queue.iter().any(|a| a.job == *job);
+        let checked = self.checking.values().any(|(a, _)| a.job == *job);
+        let divided = self.dividing.values().any(|d| d.accept.job == *job);
+        let sent = self.batches.values().flat_map(|b| &b.accepts);
+        let underway = queued || checked || divided || sent.into_iter().any(|a| a.job == *job);
+        let waiting = self.queue.len() + self.checking.len() + self.dividing.len();
+        if underway
+            || waiting >= OWN_WAITING
+            || !env.store.may(env.now(), Class::Starts, WRITES_A_JOB)
+        {
+            return false;
         }
+        let accept = Accept {
+            conns: Vec::new(),
+            job: job.clone(),
+            spec: submission.spec.clone(),
+            needs: submission.needs.clone(),
+            pieces: 0,
+            since: env.now(),
+            run: true,
+        };
+        self.take(accept, false, env).is_ok()
     }
 
     /// The answer about a job that the submission `id` needs; the mirror has it by now.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -11,5 +11,6 @@
 pub mod peers;
 pub mod placement;
 pub mod reader;
+pub mod runs;
 pub mod shard;
 pub mod upgrade;
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -2,7 +2,7 @@
 
 use super::env::Config;
 use snowshelf_calendar::calendar::Pool;
-use snowshelf_model::ids::{MachineId, Member, Millis, PartId, Team};
+use snowshelf_model::ids::{JobId, MachineId, Member, Millis, PartId, Team};
 use snowshelf_model::protocol::peer::Hint;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -108,6 +108,13 @@
             .collect()
     }
 
+    /// Jobs of graphs' runs that fail in other parts, and how often.
+    pub fn failing(&self, now: Millis) -> BTreeMap<JobId, u32> {
+        let parts = self.fresh(now).flat_map(|(_, h)| h.parts.iter());
+        let failing = parts.flat_map(|p| p.failing.iter());
+        failing.map(|f| (JobId::new(&f.job), f.errors)).collect()
+    }
+
     /// Room that others keep for teams, by part.
     pub fn kept(&self, now: Millis) -> BTreeMap<(PartId, Team), f64> {
         let parts = self.fresh(now).flat_map(|(_, h)| h.parts.iter());
--- /dev/null
+++ b/src/coordination/runs/asking.rs
@@ -0,0 +1,80 @@
+//! What users ask of graphs' runs, by method, path and body.
+
+use serde_json::Value;
+use snowshelf_dag::packing;
+use snowshelf_dag::run::Asked;
+use snowshelf_model::records::RunId;
+
+#[derive(Debug)]
+pub enum Ask {
+    /// A run, and its packed text.
+    Begin(RunId, Box<Asked>, String),
+    Show(RunId, usize, usize),
+    Cancel(RunId),
+}
+
+#[derive(Debug)]
+pub enum Read {
+    Ask(Ask),
+    Malformed(String),
+    NoSuchPath,
+    WrongMethod,
+}
+
+const STEPS: usize = 100;
+const MOST_STEPS: usize = 500;
+
+/// Reads a request; `None` if its path is none of the graphs'.
+pub fn read(method: &str, path: &str, body: &[u8]) -> Option<Read> {
+    let (path, query) = path.split_once('?').unwrap_or((path, ""));
+    let rest = path.strip_prefix("/api/graphs/")?;
+    let parts: Vec<&str> = rest.split('/').collect();
+    Some(match (method, &parts[..]) {
+        ("POST", [graph, "runs"]) => begin(graph, body),
+        ("GET", [graph, "runs", run]) => match RunId::new(graph, run) {
+            Some(id) => Read::Ask(Ask::Show(
+                id,
+                number(query, "after", 0),
+                number(query, "limit", STEPS).min(MOST_STEPS),
+            )),
+            None => Read::NoSuchPath,
+        },
+        ("POST", [graph, "runs", run, "cancel"]) => match RunId::new(graph, run) {
+            Some(id) => Read::Ask(Ask::Cancel(id)),
+            None => Read::NoSuchPath,
+        },
+        (_, [_, "runs"] | [_, "runs", _] | [_, "runs", _, "cancel"]) => Read::WrongMethod,
+        _ => Read::NoSuchPath,
+    })
+}
+
+fn number(query: &str, name: &str, otherwise: usize) -> usize {
+    let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
+    let found = pairs.find(|(k, _)| *k == name);
+    found.and_then(|(_, v)| v.parse().ok()).unwrap_or(otherwise)
+}
+
+/// `{"packed": TEXT}`, or what is packed as it is.
+fn begin(graph: &str, body: &[u8]) -> Read {
+    let value: Value = match serde_json::from_slice(body) {
+        Ok(value) => value,
+        Err(error) => return Read::Malformed(format!("body: {error}")),
+    };
+    let asked = match value.get("packed").and_then(Value::as_str) {
+        Some(text) => packing::unpack(text).map_err(|why| format!("packed: {why}")),
+        None => serde_json::from_value(value).map_err(|e| e.to_string()),
+    };
+    let asked: Asked = match asked {
+        Ok(asked) => asked,
+        Err(why) => return Read::Malformed(why),
+    };
+    if asked.graph.name != graph {
+        return Read::Malformed("graph.name: is another than the path's".to_string());
+    }
+    let Some(id) = RunId::new(graph, &asked.run) else {
+        let why = "run: must be 1 to 64 letters, digits, '.', '_', ':', '+' or '-', and so the graph's name";
+        return Read::Malformed(why.to_string());
+    };
+    let text = packing::pack(&asked);
+    Read::Ask(Ask::Begin(id, Box::new(asked), text))
+}
--- /dev/null
+++ b/src/coordination/runs/mod.rs
@@ -0,0 +1,546 @@
+//! Runs of graphs: taken, kept, and driven on by the owner of the part that a run falls into.
+//!
+//! A run is durable before its user is told. Its jobs are submitted through the same acceptance as users'
+//! jobs and carry the mark of runs; whoever takes the part over works the same plan out of the same
+//! record and goes on, so that nothing is submitted twice or forgotten. A run cancels jobs that carry
+//! its mark, and no others.
+
+mod asking;
+mod living;
+
+pub use asking::{Ask, Read, read};
+
+use super::env::{Env, Tag};
+use super::gateway::{Gateway, never_runs};
+use super::ownership::Ownership;
+use crate::bookkeeping::store::{Class, TxnResult};
+use crate::outbox::Response;
+use living::Live;
+use serde_json::{Value, json};
+use snowshelf_dag::packing;
+use snowshelf_dag::plan::expand;
+use snowshelf_dag::run::{Asked, Decision, End, Stand};
+use snowshelf_model::ids::{Attempt, ConnId, JobId, Millis, TaskNo, Version, WallMs, part_of};
+use snowshelf_model::protocol::state::{Change, Txn};
+use snowshelf_model::protocol::user;
+use snowshelf_model::records::{
+    Capability, RunId, RunRecord, RunState, part_key, plan_key, run_key,
+};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// How often a run is looked at where none of its jobs has changed.
+const LOOK_MS: u64 = 500;
+/// The least time between two looks at one run.
+const LOOK_GAP_MS: u64 = 100;
+/// Jobs submitted at one look.
+const MOST_AT_ONCE: usize = 8;
+/// Runs that wait to be written, and how long one may.
+const MOST_WAITING: usize = 16;
+const PATIENCE_MS: u64 = 4_000;
+/// Pictures of runs that this controller does not drive, for whoever asks.
+const MOST_SHOWN: usize = 4;
+/// Bytes of a value that its marks take.
+const SPARE_BYTES: usize = 64;
+
+/// A run that is being written: its pieces first.
+struct Beginning {
+    conn: ConnId,
+    id: RunId,
+    record: RunRecord,
+    pieces: Vec<String>,
+    written: usize,
+    underway: usize,
+    since: Millis,
+}
+
+/// A question that waits for the word that the picture is not behind.
+enum Question {
+    Show(ConnId, RunId, usize, usize),
+}
+
+#[derive(Default)]
+pub struct Runs {
+    beginning: VecDeque<Beginning>,
+    live: BTreeMap<RunId, Live>,
+    /// Runs whose record is being written.
+    writing: BTreeMap<u64, (RunId, RunRecord)>,
+    cancelling: BTreeMap<u64, (ConnId, RunId, RunRecord)>,
+    questions: BTreeMap<u64, Question>,
+    /// Runs that cannot be expanded here, told once.
+    broken: BTreeSet<RunId>,
+    next: u64,
+    turn: Option<RunId>,
+}
+
+fn word(state: RunState, cancel: bool) -> &'static str {
+    match (state, cancel) {
+        (RunState::Open, true) => "cancelling",
+        (RunState::Open, false) => "running",
+        (RunState::Success, _) => "success",
+        (RunState::Failed, _) => "failed",
+        (RunState::Cancelled, _) => "cancelled",
+    }
+}
+
+fn brief(id: &RunId, record: &RunRecord) -> Value {
+    json!({"graph": id.graph, "run": id.run, "state": word(record.state, record.cancel), "jobs": record.jobs})
+}
+
+fn counted(stands: &[Stand]) -> BTreeMap<String, u32> {
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for stand in stands {
+        let name = serde_json::to_value(stand).ok();
+        let name = name.and_then(|v| v.as_str().map(str::to_string));
+        *counts.entry(name.unwrap_or_default()).or_default() += 1;
+    }
+    counts
+}
+
+impl Runs {
+    pub fn take(&mut self, conn: ConnId, ask: Ask, env: &mut Env) {
+        let why = if !env.mirror.all_can(&Capability::graphs()) {
+            Some("not every controller takes graphs yet")
+        } else if !env.mirror.loaded || env.types.is_empty() {
+            Some("not able to decide yet")
+        } else {
+            None
+        };
+        if let Some(why) = why {
+            env.out.respond(conn, Response::later(503, why, 2));
+            return;
+        }
+        match ask {
+            Ask::Begin(id, asked, text) => self.begin(conn, id, &asked, &text, env),
+            Ask::Show(id, after, limit) => self.ask(Question::Show(conn, id, after, limit), env),
+            Ask::Cancel(id) => self.cancel(conn, id, env),
+        }
+    }
+
+    fn begin(&mut self, conn: ConnId, id: RunId, asked: &Asked, text: &str, env: &mut Env) {
+        let respond = |env: &mut Env, status: u16, body: Value| {
+            env.out
+                .respond(conn, Response::new(status, body.to_string().into_bytes()));
+        };
+        if let Some(v) = env.mirror.runs.get(&id) {
+            // By run and not by what it was asked for: a retry may be written otherwise.
+            let body = brief(&id, &v.value);
+            respond(env, 200, body);
+            return;
+        }
+        let open = env
+            .mirror
+            .runs
+            .iter()
+            .filter(|(_, v)| v.value.state == RunState::Open);
+        let of_graph = open
+            .clone()
+            .filter(|(other, _)| other.graph == id.graph)
+            .count();
+        let most = asked
+            .graph
+            .max_active_runs
+            .map_or(usize::MAX, |n| n as usize);
+        let full = open.count() >= env.cfg.ops.graphs.most_runs || of_graph >= most;
+        if full || self.beginning.len() >= MOST_WAITING {
+            let why = if of_graph >= most {
+                "the graph has as many active runs as it may"
+            } else {
+                "too many runs"
+            };
+            env.out.respond(conn, Response::later(503, why, 5));
+            return;
+        }
+        let plan = match expand(&asked.graph, &asked.mapping, &asked.facts(), "graph") {
+            Ok(plan) => plan,
+            Err(problems) => {
+                respond(
+                    env,
+                    422,
+                    json!({"error": "the graph cannot run", "problems": problems}),
+                );
+                return;
+            }
+        };
+        let most = env.cfg.ops.graphs.most_jobs;
+        let never = plan
+            .jobs
+            .iter()
+            .find_map(|j| Some((j, never_runs(&j.submission.spec, env)?)));
+        if let Some((job, why)) = never {
+            respond(env, 422, json!({"error": format!("{}: {why}", job.step)}));
+            return;
+        }
+        if plan.jobs.len() > most {
+            respond(
+                env,
+                422,
+                json!({"error": format!("the run has more than {most} jobs")}),
+            );
+            return;
+        }
+        let bytes = env.terms.value_bytes.saturating_sub(SPARE_BYTES);
+        let pieces = packing::pieces(text, bytes);
+        let record = RunRecord {
+            state: RunState::Open,
+            at: WallMs(env.out.wall_ms),
+            jobs: plan.jobs.len() as u32,
+            hash: packing::hash(text),
+            pieces: pieces.len() as u32,
+            cancel: false,
+            failed: Default::default(),
+            counts: BTreeMap::new(),
+            ended: None,
+        };
+        self.beginning.push_back(Beginning {
+            conn,
+            id,
+            record,
+            pieces,
+            written: 0,
+            underway: 0,
+            since: env.now(),
+        });
+    }
+
+    /// Writes what the first of the beginning runs still lacks, and then its record.
+    fn write_beginning(&mut self, env: &mut Env) {
+        let now = env.now();
+        while let Some(first) = self.beginning.front()
+            && first.underway == 0
+            && now.since(first.since) > PATIENCE_MS
+        {
+            let later = Response::later(503, "could not be written yet", 2);
+            env.out.respond(first.conn, later);
+            self.beginning.pop_front();
+        }
+        let Some(first) = self.beginning.front_mut().filter(|b| b.underway == 0) else {
+            return;
+        };
+        let key = run_key(&first.id);
+        let mut txn = Txn::default().when(key.clone(), Version(0));
+        let room = env.store.room(now, Class::Accept).min(env.terms.txn_ops);
+        let rest = first
+            .pieces
+            .iter()
+            .enumerate()
+            .skip(first.written)
+            .take(room);
+        for (i, piece) in rest {
+            let key = plan_key(&first.id, &first.record.hash, i as u32);
+            txn = txn.then(Change::write(key, piece));
+        }
+        if txn.changes.is_empty() && first.written == first.pieces.len() {
+            txn = txn.then(Change::write(key, &first.record));
+        }
+        if txn.changes.is_empty() || !env.store.may(now, Class::Accept, txn.changes.len()) {
+            return;
+        }
+        first.underway = txn.changes.len();
+        env.store.txn(env.out, Tag::RunBegin, &txn);
+    }
+
+    /// The answer to a part of a run's beginning.
+    pub fn begun(&mut self, result: TxnResult, env: &mut Env) {
+        let Some(first) = self.beginning.front_mut() else {
+            return;
+        };
+        let underway = std::mem::take(&mut first.underway);
+        match result {
+            TxnResult::Done(_) if first.written < first.pieces.len() => {
+                first.written += underway;
+                first.since = env.out.now;
+            }
+            TxnResult::Done(revision) => {
+                if let Some(done) = self.beginning.pop_front() {
+                    let value = serde_json::to_value(&done.record).unwrap_or_default();
+                    env.mirror.apply(&run_key(&done.id), Some(&value), revision);
+                    tracing::info!(run = %done.id, jobs = done.record.jobs, "a run is taken");
+                    let body = brief(&done.id, &done.record).to_string();
+                    env.out
+                        .respond(done.conn, Response::new(201, body.into_bytes()));
+                }
+            }
+            _ => {
+                // A retry finds the run, or writes the same pieces again.
+                if let Some(lost) = self.beginning.pop_front() {
+                    let later = Response::later(503, "the state service did not answer", 1);
+                    env.out.respond(lost.conn, later);
+                }
+            }
+        }
+    }
+
+    /// Asks whether the picture of a run is behind.
+    fn ask(&mut self, question: Question, env: &mut Env) {
+        let Question::Show(conn, id, ..) = &question;
+        if !env.store.may(env.now(), Class::Reads, 0) {
+            env.out
+                .respond(*conn, Response::later(503, "too many requests", 1));
+            return;
+        }
+        let known = env.mirror.runs.get(id).map(|v| v.version);
+        let txn = Txn::default().when(run_key(id), known.unwrap_or_default());
+        self.next += 1;
+        env.store
+            .compare(env.out, Tag::RunAsk(self.next), &txn, 1_500);
+        self.questions.insert(self.next, question);
+    }
+
+    /// The answer to such a question.
+    pub fn answered(&mut self, id: u64, result: TxnResult, env: &mut Env) {
+        let Some(Question::Show(conn, run, after, limit)) = self.questions.remove(&id) else {
+            return;
+        };
+        let TxnResult::Done(_) = result else {
+            let later = Response::later(
+                503,
+                "the picture is behind, or the state service did not answer",
+                1,
+            );
+            env.out.respond(conn, later);
+            return;
+        };
+        let Some(record) = env.mirror.runs.get(&run).map(|v| v.value.clone()) else {
+            env.out
+                .respond(conn, Response::new(404, user::error("no such run")));
+            return;
+        };
+        let mut body = brief(&run, &record);
+        if record.state != RunState::Open {
+            body["counts"] = json!(record.counts);
+        }
+        // Steps are shown as long as the run's pieces are there.
+        self.picture(&run, &record, env);
+        if let Some(live) = self.live.get_mut(&run) {
+            let decision = live.look(&record, 0, env);
+            if record.state == RunState::Open {
+                body["counts"] = json!(counted(&decision.stands));
+            }
+            let steps = live
+                .plan
+                .jobs
+                .iter()
+                .zip(&decision.stands)
+                .enumerate()
+                .skip(after)
+                .take(limit);
+            let steps: Vec<Value> = steps
+                .map(|(i, (job, stand))| {
+                    let mut step = json!({"at": i, "step": job.step, "job": job.submission.job, "stand": stand});
+                    if let Some(copy) = job.copy {
+                        step["copy"] = json!(copy);
+                        step["sweep"] = json!(job.sweep);
+                    }
+                    step
+                })
+                .collect();
+            body["steps"] = json!(steps);
+            body["more"] = json!(after + limit < live.plan.jobs.len());
+        }
+        env.out
+            .respond(conn, Response::new(200, body.to_string().into_bytes()));
+    }
+
+    fn cancel(&mut self, conn: ConnId, id: RunId, env: &mut Env) {
+        let Some(v) = env.mirror.runs.get(&id).cloned() else {
+            // The record may not have come yet.
+            self.ask(Question::Show(conn, id, 0, 0), env);
+            return;
+        };
+        if v.value.state != RunState::Open || v.value.cancel {
+            let body = brief(&id, &v.value).to_string();
+            env.out.respond(conn, Response::new(200, body.into_bytes()));
+            return;
+        }
+        if !env.store.may(env.now(), Class::Accept, 1) {
+            env.out
+                .respond(conn, Response::later(503, "too many requests", 1));
+            return;
+        }
+        let record = RunRecord {
+            cancel: true,
+            ..(*v.value).clone()
+        };
+        let txn = Txn::default()
+            .when(run_key(&id), v.version)
+            .then(Change::write(run_key(&id), &record));
+        self.next += 1;
+        env.store.txn(env.out, Tag::RunCancel(self.next), &txn);
+        self.cancelling.insert(self.next, (conn, id, record));
+    }
+
+    /// The answer to a cancellation.
+    pub fn cancelled(&mut self, id: u64, result: TxnResult, env: &mut Env) {
+        let Some((conn, run, record)) = self.cancelling.remove(&id) else {
+            return;
+        };
+        match result {
+            TxnResult::Done(revision) => {
+                let value = serde_json::to_value(&record).unwrap_or_default();
+                env.mirror.apply(&run_key(&run), Some(&value), revision);
+                tracing::info!(run = %run, "a run is cancelled");
+                let body = brief(&run, &record).to_string();
+                env.out.respond(conn, Response::new(200, body.into_bytes()));
+            }
+            _ => env
+                .out
+                .respond(conn, Response::later(503, "could not be settled yet", 1)),
+        }
+    }
+
+    /// Makes a picture of a run, if its pieces are there.
+    fn picture(&mut self, id: &RunId, record: &RunRecord, env: &Env) {
+        if self.live.contains_key(id) || self.broken.contains(id) {
+            return;
+        }
+        match Live::build(id, record, env) {
+            Some(Ok(live)) => {
+                self.live.insert(id.clone(), live);
+            }
+            Some(Err(why)) => {
+                tracing::error!(run = %id, why, "a run cannot be expanded here");
+                self.broken.insert(id.clone());
+            }
+            None => {}
+        }
+    }
+
+    /// Sends everybody who waits away: the state service does not serve.
+    pub fn refuse_all(&mut self, env: &mut Env) {
+        while let Some(first) = self.beginning.pop_front() {
+            env.out.respond(
+                first.conn,
+                Response::later(503, "the state service is away", 2),
+            );
+        }
+    }
+
+    /// The regular work: the next of the runs that this controller drives.
+    pub fn tick(
+        &mut self,
+        own: &Ownership,
+        errors: &BTreeMap<JobId, u32>,
+        gateway: &mut Gateway,
+        env: &mut Env,
+    ) {
+        self.write_beginning(env);
+        if env.mirror.runs.is_empty() && self.live.is_empty() {
+            return;
+        }
+        let parts = env.cfg.parts;
+        let mine = |id: &RunId| own.token(part_of(&id.to_string(), parts)).is_some();
+        let now = env.now();
+        let mut shown = 0;
+        let mirror = &env.mirror;
+        self.live.retain(|id, live| {
+            let open = mirror
+                .runs
+                .get(id)
+                .is_some_and(|v| v.value.state == RunState::Open);
+            if open && mine(id) {
+                return true;
+            }
+            shown += 1;
+            shown <= MOST_SHOWN && now.since(live.looked_at) < 60_000
+        });
+        let open = |v: &&RunId| mirror.runs[*v].value.state == RunState::Open && mine(v);
+        let after = self.turn.as_ref();
+        let later = mirror
+            .runs
+            .keys()
+            .filter(open)
+            .find(|id| after.is_none_or(|a| *id > a));
+        let next = later.or_else(|| mirror.runs.keys().find(open)).cloned();
+        self.turn = next.clone();
+        let Some(id) = next else {
+            return;
+        };
+        let Some(v) = env.mirror.runs.get(&id).cloned() else {
+            return;
+        };
+        self.picture(&id, &v.value, env);
+        let busy = self.writing.values().any(|(other, _)| *other == id);
+        let Some(live) = self.live.get_mut(&id).filter(|_| !busy) else {
+            return;
+        };
+        let age = now.since(live.looked_at);
+        if age < LOOK_GAP_MS || (age < LOOK_MS && live.looked_of == env.mirror.job_changes) {
+            return;
+        }
+        let decision = live.look(&v.value, MOST_AT_ONCE, env);
+        for i in &decision.submit {
+            if !gateway.submit_own(&live.plan.jobs[*i].submission, env) {
+                break;
+            }
+        }
+        let cancel = decision
+            .cancel
+            .iter()
+            .map(|i| live.plan.jobs[*i].submission.job.clone());
+        gateway.own_cancels.extend(cancel);
+        let failing = live.failing(errors, env);
+        self.settle(&id, v.version, &v.value, &decision, &failing, own, env);
+    }
+
+    /// Writes what has become of a run: jobs that have failed for good, its end.
+    #[allow(clippy::too_many_arguments)]
+    fn settle(
+        &mut self,
+        id: &RunId,
+        version: Version,
+        before: &RunRecord,
+        decision: &Decision,
+        failing: &[u32],
+        own: &Ownership,
+        env: &mut Env,
+    ) {
+        let mut record = before.clone();
+        for i in failing {
+            record.failed.insert(TaskNo(*i), Attempt(0));
+        }
+        if let Some(end) = decision.end {
+            record.state = match end {
+                End::Success => RunState::Success,
+                End::Failed => RunState::Failed,
+                End::Cancelled => RunState::Cancelled,
+            };
+            record.counts = counted(&decision.stands);
+            record.ended = Some(WallMs(env.out.wall_ms));
+            // What failed is told by the counts from now on.
+            record.failed = Default::default();
+        }
+        let part = part_of(&id.to_string(), env.cfg.parts);
+        let Some(token) = own.token(part).filter(|_| record != *before) else {
+            return;
+        };
+        let value = serde_json::to_value(&record).unwrap_or_default();
+        if !env.terms.takes(&value) {
+            tracing::error!(run = %id, "the run's record would be too large");
+            return;
+        }
+        if !env.store.may(env.now(), Class::Ends, 1) {
+            return;
+        }
+        let txn = Txn::default()
+            .when(part_key(part), Version(token.0))
+            .when(run_key(id), version)
+            .then(Change::write(run_key(id), &value));
+        self.next += 1;
+        env.store.txn(env.out, Tag::RunWrite(self.next), &txn);
+        self.writing.insert(self.next, (id.clone(), record));
+    }
+
+    /// The answer to such a write; whatever it leaves open, the feed tells, and it is decided anew.
+    pub fn written(&mut self, id: u64, result: TxnResult, env: &mut Env) {
+        let Some((run, record)) = self.writing.remove(&id) else {
+            return;
+        };
+        if let TxnResult::Done(revision) = result {
+            if record.state != RunState::Open {
+                tracing::info!(run = %run, state = word(record.state, false), "a run has ended");
+            }
+            let value = serde_json::to_value(&record).unwrap_or_default();
+            env.mirror.apply(&run_key(&run), Some(&value), revision);
+        }
+    }
+}
--- a/src/coordination/shard/job.rs
+++ b/src/coordination/shard/job.rs
@@ -1,8 +1,8 @@
 //! A part's share of one job: what is durable, and the steps that are not yet.
 
-use snowshelf_model::ids::{MachineId, Millis, Version};
+use snowshelf_model::ids::{MachineId, Millis, TaskNo, Version};
 use snowshelf_model::records::{Alloc, JobRecord, JobSpec, JobState, Step, StepKind};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 pub(super) struct NumberedStep {
@@ -47,6 +47,8 @@
     pub image: u32,
     pub failed_on: BTreeSet<MachineId>,
     pub failures: u32,
+    /// Of a graph's run: how often each task has failed, as far as this owner saw.
+    pub errors: BTreeMap<TaskNo, u32>,
     pub retry_at: Millis,
 }
 
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -133,6 +133,12 @@
         self.jobs.contains_key(job)
     }
 
+    /// Jobs of graphs' runs that fail here, and how often their worst task has.
+    pub fn failing(&self) -> impl Iterator<Item = (&JobId, u32)> + '_ {
+        let failing = self.jobs.iter().filter(|(_, j)| !j.errors.is_empty());
+        failing.filter_map(|(id, j)| Some((id, *j.errors.values().max()?)))
+    }
+
     /// Machines that reported lately.
     pub fn heard(&self, now: Millis, within_ms: u64) -> impl Iterator<Item = &MachineId> + '_ {
         self.machines
@@ -205,6 +211,7 @@
                     image,
                     failed_on: BTreeSet::new(),
                     failures: 0,
+                    errors: BTreeMap::new(),
                     retry_at: Millis(0),
                 });
                 if known && record.version == entry.job_version && alloc.version <= entry.version {
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -199,6 +199,9 @@
                 Some(Why::Error) => {
                     self.step(now, job, step(StepKind::Requeue));
                     self.blame(name, job, now);
+                    if let Some(j) = self.jobs.get_mut(job).filter(|j| j.spec.run) {
+                        *j.errors.entry(item.task.task).or_default() += 1;
+                    }
                 }
                 Some(Why::Full) | Some(Why::InUse) => {
                     self.step(now, job, step(StepKind::Requeue));
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -36,6 +36,33 @@
     pub hold_format: bool,
     /// Reservations and maintenance windows.
     pub calendar: CalendarSettings,
+    /// Runs of graphs.
+    pub graphs: GraphSettings,
+}
+
+/// Runs of graphs. See docs/graphs.md.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct GraphSettings {
+    /// Whether this controller takes runs. They are taken once every controller has this on; what has
+    /// been taken goes on even where it is off.
+    pub enabled: bool,
+    /// Jobs of one run at the most.
+    #[schemars(range(min = 1, max = 100000))]
+    pub most_jobs: usize,
+    /// Runs open at once, of all graphs.
+    #[schemars(range(min = 1, max = 10000))]
+    pub most_runs: usize,
+}
+
+impl Default for GraphSettings {
+    fn default() -> Self {
+        Self {
+            enabled: false,
+            most_jobs: 10_000,
+            most_runs: 100,
+        }
+    }
 }
 
 /// Reservations of capacity ahead, and maintenance windows. See docs/reservations.md.
@@ -92,6 +119,7 @@
             image_patience: 0.5,
             hold_format: false,
             calendar: CalendarSettings::default(),
+            graphs: GraphSettings::default(),
         }
     }
 }
@@ -104,7 +132,8 @@
     /// The features that are switched on here and that all controllers must know.
     pub fn can(&self) -> BTreeSet<Capability> {
         let calendar = self.calendar.enabled.then(Capability::calendar);
-        calendar.into_iter().collect()
+        let graphs = self.graphs.enabled.then(Capability::graphs);
+        calendar.into_iter().chain(graphs).collect()
     }
 
     /// Reads the settings; the error names the place in the schema that was not met.
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -89,6 +89,7 @@
         needs: needs.iter().map(|n| name(*n)).collect(),
         needs_pieces: 0,
         ended: None,
+        run: false,
     }
 }
 
@@ -108,6 +109,7 @@
                     state: r.state,
                     tasks: r.tasks,
                     ended: r.ended,
+                    run: false,
                 },
             );
         } else {
--- /dev/null
+++ b/tests/running.rs
@@ -0,0 +1,268 @@
+//! Runs of graphs in the stand-in world, with whole controllers.
+
+mod world;
+
+use serde_json::json;
+use snowshelf_dag::graph::Graph;
+use snowshelf_dag::run::Asked;
+use std::collections::BTreeMap;
+use world::{Sabotage, Weather, World};
+
+const CALM: Weather = Weather {
+    graphs: true,
+    ..Weather::CALM
+};
+
+const STORM: Weather = Weather {
+    graphs: true,
+    ..Weather::STORM
+};
+
+fn world(seed: u64, weather: Weather, jobs: usize) -> World {
+    if std::env::var("LOG_LEVEL").is_ok() {
+        let _ = tracing_subscriber::fmt().without_time().try_init();
+    }
+    World::new(seed, weather, Sabotage::default(), jobs, 90_000)
+}
+
+fn harvest(run: &str) -> Asked {
+    let graph: Graph = serde_json::from_value(json!({
+        "name": "harvest",
+        "defaults": {"retries": 1, "job": {"class": "c", "team": "red", "cpus": 1.0, "mem_gb": 1.0,
+            "image": "img-0", "pull_gb": 1.0, "estimate_s": 5.0}},
+        "steps": [
+            {"id": "tally", "job": {"tasks": 3.0}},
+            {"id": "weigh", "after": ["tally"], "sweep": {"product": {"scale": [1, 2, 3, 4]}}},
+            {"id": "rest", "after": ["tally"], "job": {"team": "blue"}},
+            {"id": "sheet", "after": ["weigh"], "job": {"tasks": 2.0}},
+            {"id": "tell", "after": ["weigh", "rest"], "trigger": "all_done"},
+            {"id": "alarm", "after": ["weigh"], "trigger": "one_failed"},
+            {"id": "last", "after": ["sheet", "tell"], "trigger": "none_failed"}
+        ]
+    }))
+    .unwrap();
+    Asked {
+        run: run.to_string(),
+        graph,
+        mapping: Default::default(),
+        params: BTreeMap::new(),
+        from: "2027-09-01T00:00:00Z".parse().unwrap(),
+        until: "2027-09-02T00:00:00Z".parse().unwrap(),
+    }
+}
+
+fn job_of(world: &World, run: usize, step: &str, copy: Option<usize>) -> String {
+    let plan = &world.runners[run].plan;
+    let job = plan
+        .jobs
+        .iter()
+        .find(|j| j.step == step && j.copy == copy)
+        .unwrap();
+    job.submission.job.as_str().to_string()
+}
+
+fn done(world: &World, job: &str) -> bool {
+    world.users.iter().any(|u| u.job == job && u.told_done)
+}
+
+#[test]
+fn a_run_goes_through_and_its_steps_keep_their_order() {
+    let mut world = world(1, CALM, 4);
+    let run = world.add_run(8_000, &harvest("r1"));
+    world.run(120_000);
+    assert_eq!(world.broken, Vec::<String>::new());
+    let runner = &world.runners[run];
+    assert_eq!(runner.state, "success", "{:?}", world.unsettled());
+    assert_eq!(runner.counts, json!({"success": 9, "skipped": 1}));
+    assert!(!done(&world, &job_of(&world, run, "alarm", None)));
+    assert!(done(&world, &job_of(&world, run, "last", None)));
+}
+
+/// A step that fails wherever it starts fails for good after its retries; what waits below it never
+/// runs, what runs however it ends does, and nothing else is cancelled.
+#[test]
+fn a_failed_step_stops_what_waits_below_it() {
+    let mut world = world(2, CALM, 4);
+    let run = world.add_run(8_000, &harvest("r1"));
+    let bad = job_of(&world, run, "weigh", Some(2));
+    world.bad_jobs.insert(bad.clone());
+    world.run(200_000);
+    assert_eq!(world.broken, Vec::<String>::new());
+    let runner = &world.runners[run];
+    assert_eq!(runner.state, "failed", "{:?}", world.unsettled());
+    assert_eq!(
+        runner.counts,
+        json!({"failed": 1, "success": 7, "upstream_failed": 2})
+    );
+    let cancelled: Vec<&str> = world
+        .users
+        .iter()
+        .filter(|u| u.told_cancelled.is_some())
+        .map(|u| u.job.as_str())
+        .collect();
+    let sheet = job_of(&world, run, "sheet", None);
+    assert!(
+        cancelled.iter().all(|j| *j == bad
+            || *j == sheet
+            || world.users.iter().any(|u| u.job == *j && u.wants_cancel)),
+        "{cancelled:?}"
+    );
+    assert!(
+        done(&world, &job_of(&world, run, "alarm", None))
+            && done(&world, &job_of(&world, run, "tell", None))
+    );
+}
+
+/// The same work as a graph and as jobs of a user's own: the same results, and about the same times.
+#[test]
+fn a_graph_does_as_native_jobs_do() {
+    let ends = |native: bool| -> (bool, u64) {
+        let mut world = world(5, CALM, 0);
+        let mut asked = harvest("r1");
+        asked
+            .graph
+            .steps
+            .retain(|s| s.trigger == Default::default());
+        if native {
+            let plan =
+                snowshelf_dag::plan::expand(&asked.graph, &asked.mapping, &asked.facts(), "g")
+                    .unwrap();
+            for job in &plan.jobs {
+                world.add_user(
+                    8_000,
+                    snowshelf_model::protocol::user::submission_body(&job.submission),
+                );
+                let needs = job.after.clone();
+                let user = world.users.last_mut().unwrap();
+                user.needs = needs;
+                user.job = job.submission.job.as_str().to_string();
+            }
+        } else {
+            world.add_run(8_000, &asked);
+        }
+        let mut at = 8_000;
+        while at < 120_000 {
+            at += 100;
+            world.run(at);
+            let all = world.users.iter().all(|u| {
+                world
+                    .finished
+                    .get(&u.job)
+                    .is_some_and(|f| f.len() == u.tasks as usize)
+            });
+            if all {
+                break;
+            }
+        }
+        assert_eq!(world.broken, Vec::<String>::new());
+        (
+            world
+                .users
+                .iter()
+                .all(|u| world.finished.contains_key(&u.job)),
+            at,
+        )
+    };
+    let ((graph, a), (native, b)) = (ends(false), ends(true));
+    assert!(graph && native);
+    // Users submit a pipeline level by level, each when they have heard of the one before.
+    assert!(
+        a < b + 2_000 && b < a + 8_000,
+        "{a} ms as a graph, {b} ms natively"
+    );
+}
+
+/// Guards against runs that are lost, doubled, or that stand still because their controller is gone, in the
+/// midst of being written, expanded, failed or cancelled.
+#[test]
+fn runs_end_in_storms() {
+    let mut ended: BTreeMap<String, u32> = BTreeMap::new();
+    for seed in 1..=40 {
+        let weather = Weather {
+            roll: seed % 4 == 0,
+            ..STORM
+        };
+        let mut world = world(seed, weather, 6);
+        for n in 0..3 {
+            let run = world.add_run(4_000 + 9_000 * n, &harvest(&format!("r{n}")));
+            if n == 1 {
+                world.runners[run].cancel_at = Some(15_000 + 1_000 * (seed % 20));
+            }
+            if n == 2 && seed % 2 == 0 {
+                let bad = job_of(&world, run, "weigh", Some(1));
+                world.bad_jobs.insert(bad);
+            }
+        }
+        world.run(400_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        for runner in &world.runners {
+            assert!(
+                runner.ended(),
+                "seed {seed}: {} {:#?}",
+                runner.state,
+                world.unsettled()
+            );
+            *ended.entry(runner.state.clone()).or_default() += 1;
+        }
+        let own = world.users.iter().filter(|u| !u.by_run);
+        assert!(
+            own.into_iter()
+                .all(|u| u.told_done || u.told_cancelled.is_some()),
+            "seed {seed}"
+        );
+        // A cancelled run leaves nothing behind.
+        for runner in world.runners.iter().filter(|r| r.state == "cancelled") {
+            for job in &runner.plan.jobs {
+                let name = format!("{}/", job.submission.job);
+                let left = world.workers.values().flat_map(|w| &w.tasks);
+                assert!(
+                    left.filter(|t| t.state != "exited")
+                        .all(|t| !t.name.starts_with(&name)),
+                    "seed {seed}"
+                );
+            }
+        }
+    }
+    for state in ["success", "failed", "cancelled"] {
+        assert!(ended.get(state).is_some_and(|n| *n >= 5), "{ended:?}");
+    }
+}
+
+/// A user's own job that happens to have the name of a run's is never taken for the run's, nor cancelled
+/// with it.
+#[test]
+fn a_users_own_job_is_never_the_runs() {
+    let mut world = world(4, CALM, 0);
+    world.run_ms = 20_000;
+    let asked = harvest("r1");
+    let plan =
+        snowshelf_dag::plan::expand(&asked.graph, &asked.mapping, &asked.facts(), "g").unwrap();
+    let theirs = plan.jobs[0].submission.job.as_str().to_string();
+    world.add_user(
+        3_000,
+        json!({"Ref": theirs, "Tarefas": 2, "Cuadrilla": "blue"}),
+    );
+    world.users[0].job = theirs.clone();
+    let run = world.add_run(15_000, &asked);
+    // Who asks for the run's job of that name is told of the user's.
+    world.users[1].tasks = 2;
+    world.runners[run].cancel_at = Some(20_000);
+    world.run(30_000);
+    world.run(150_000);
+    assert!(
+        done(&world, &theirs),
+        "{:?} {:?}",
+        world.broken,
+        world.unsettled()
+    );
+    assert!(
+        world.broken.iter().all(|b| !b.contains(&theirs)),
+        "{:?}",
+        world.broken
+    );
+    assert!(
+        matches!(world.runners[run].state.as_str(), "cancelled" | "failed"),
+        "{}",
+        world.runners[run].state
+    );
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -5,6 +5,8 @@
 pub mod booking;
 pub mod cloud;
 mod frozen;
+#[allow(dead_code)] // Used by some of the tests that share this world.
+pub mod running;
 pub mod state;
 pub mod workers;
 
@@ -60,6 +62,8 @@
     pub machine_faults: bool,
     /// Reservations and windows are switched on, and clocks differ by as much as they may.
     pub calendar: bool,
+    /// Runs of graphs are switched on.
+    pub graphs: bool,
     /// Jobs take much longer than their owners think.
     pub short_estimates: bool,
     /// The controllers begin as the version before and are replaced one after the other; some time
@@ -76,6 +80,7 @@
         outages: false,
         machine_faults: false,
         calendar: false,
+        graphs: false,
         short_estimates: false,
         roll: false,
     };
@@ -118,6 +123,7 @@
     Boot(String),
     UserNext(usize),
     BookNext(usize),
+    RunNext(usize),
 }
 
 struct Node {
@@ -133,6 +139,8 @@
     pub needs: Vec<usize>,
     pub job: String,
     pub spec: Value,
+    /// A graph's run submits it.
+    pub by_run: bool,
     pub tasks: u32,
     pub cpus: f64,
     pub accepted: bool,
@@ -154,6 +162,10 @@
     /// A reservation or a window, and a question about an accepted one.
     Book(usize),
     Booked(usize),
+    /// A run begun, cancelled, and asked about.
+    RunBegin(usize),
+    RunCancel(usize),
+    RunShow(usize),
 }
 
 pub struct World {
@@ -168,6 +180,9 @@
     pub workers: BTreeMap<String, Worker>,
     pub users: Vec<User>,
     pub bookers: Vec<booking::Booker>,
+    pub runners: Vec<running::Runner>,
+    /// Jobs whose tasks fail wherever they start.
+    pub bad_jobs: BTreeSet<String>,
     seen: booking::Seen,
     /// How long tasks run, about.
     pub run_ms: u64,
@@ -233,6 +248,8 @@
             workers: BTreeMap::new(),
             users: Vec::new(),
             bookers: Vec::new(),
+            runners: Vec::new(),
+            bad_jobs: BTreeSet::new(),
             seen: booking::Seen::default(),
             run_ms: 3_000,
             empty_after: None,
@@ -308,6 +325,7 @@
         }
         User {
             needs,
+            by_run: false,
             job,
             spec,
             tasks,
@@ -352,6 +370,7 @@
             tasks: whole["Tarefas"].as_u64().unwrap_or(1) as u32,
             cpus: whole["Cpus"].as_f64().unwrap_or(1.0),
             spec: whole,
+            by_run: false,
             accepted: false,
             told_done: false,
             told_cancelled: None,
@@ -444,6 +463,7 @@
             hold_format: node.old,
             ..OperatorSettings::default()
         };
+        ops.graphs.enabled = self.weather.graphs && !node.old;
         if self.weather.calendar && !node.old {
             ops.calendar.enabled = true;
             ops.calendar.capacity = ["a", "b"]
@@ -645,6 +665,7 @@
             }
             Event::UserNext(u) => self.user_next(u),
             Event::BookNext(b) => self.book_next(b),
+            Event::RunNext(r) => self.run_next(r),
         }
         for (node, life, call, body) in self.state.timeouts(self.now) {
             let result = CallResult::Answer { status: 200, body };
@@ -696,6 +717,7 @@
         let start = self.rng.random_range(0..NODES);
         let mut worker = Worker::new(name, &machine, start, self.now);
         worker.run_ms = self.run_ms;
+        worker.bad = self.bad_jobs.clone();
         self.workers.insert(name.to_string(), worker);
         self.after(1, Event::Report(name.to_string()));
         if self.weather.machine_faults && self.now < self.quiet_at {
@@ -812,7 +834,8 @@
 
     fn user_next(&mut self, u: usize) {
         let node = self.rng.random_range(0..NODES);
-        if self.users[u].needs.iter().any(|n| !self.users[*n].accepted) {
+        let by_run = self.users[u].by_run;
+        if !by_run && self.users[u].needs.iter().any(|n| !self.users[*n].accepted) {
             // Users submit the jobs of a pipeline one after another.
             self.after(500, Event::UserNext(u));
             return;
@@ -826,7 +849,7 @@
             user.wants_cancel = true;
         }
         let settled = user.told_done || user.told_cancelled.is_some();
-        if !user.accepted {
+        if !user.accepted && !by_run {
             let body = spec.to_string().into_bytes();
             self.ask(node, "POST", "/api/jobs", body, Asked::Submit(u))
         } else if user.wants_cancel && !settled {
@@ -836,7 +859,7 @@
             let path = format!("/api/jobs/{job}");
             self.ask(node, "GET", &path, Vec::new(), Asked::Poll(u))
         };
-        if self.rng.random_bool(0.1) {
+        if !by_run && self.rng.random_bool(0.1) {
             self.ask(
                 node,
                 "GET",
@@ -863,6 +886,9 @@
         let word = value["Estado"].as_str().unwrap_or("").to_string();
         match asked {
             Asked::Worker(name, number) => self.worker_answer(&name, number, status, &body),
+            Asked::RunBegin(r) => self.run_answered(r, true, false, status, &value),
+            Asked::RunCancel(r) => self.run_answered(r, false, true, status, &value),
+            Asked::RunShow(r) => self.run_answered(r, false, false, status, &value),
             Asked::Book(b) => self.booked(b, status, value),
             Asked::Booked(b) => self.still_booked(b, status, &value),
             Asked::Dangling => {
@@ -895,7 +921,7 @@
                 user.accepted = true;
                 let went_back = (user.told_done && word != "done")
                     || (user.told_cancelled.is_some() && word != "aborted")
-                    || (word == "aborted" && !user.wants_cancel && above.is_none());
+                    || (word == "aborted" && !user.wants_cancel && above.is_none() && !user.by_run);
                 let orphaned = above.flatten().is_some_and(|at| now > at + CANCEL_MS)
                     && matches!(word.as_str(), "queued" | "running");
                 if word == "done" {
@@ -1009,6 +1035,7 @@
     }
 
     /// Jobs whose users have heard the end.
+    #[allow(dead_code)]
     pub fn settled(&self) -> usize {
         self.users
             .iter()
--- /dev/null
+++ b/tests/world/running.rs
@@ -0,0 +1,132 @@
+//! Users who begin runs of graphs, and what must hold for them.
+
+use super::{Asked, Event, NODES, User, World};
+use rand::RngExt;
+use serde_json::{Value, json};
+use snowshelf_dag::packing;
+use snowshelf_dag::plan::{Plan, expand};
+use snowshelf_dag::run::Asked as RunAsked;
+
+pub struct Runner {
+    path: String,
+    body: Value,
+    pub plan: Plan,
+    /// Where its jobs stand among the users.
+    pub first: usize,
+    pub accepted: bool,
+    pub cancel_at: Option<u64>,
+    pub cancelled: bool,
+    /// The last state told, and when it came to an end.
+    pub state: String,
+    pub ended_at: Option<u64>,
+    pub counts: Value,
+}
+
+impl Runner {
+    pub fn ended(&self) -> bool {
+        self.ended_at.is_some()
+    }
+}
+
+impl World {
+    /// A user who begins a run; each of its jobs counts as a user's that nobody submits.
+    pub fn add_run(&mut self, at: u64, asked: &RunAsked) -> usize {
+        let plan =
+            expand(&asked.graph, &asked.mapping, &asked.facts(), "g").expect("a sound graph");
+        let first = self.users.len();
+        for job in &plan.jobs {
+            let spec = snowshelf_model::protocol::user::submission_body(&job.submission);
+            let needs = job.submission.needs.iter().map(|n| {
+                let at = plan.jobs.iter().position(|j| j.submission.job == *n);
+                first + at.expect("a job of the plan")
+            });
+            let user = User {
+                needs: needs.collect(),
+                job: job.submission.job.as_str().to_string(),
+                tasks: job.submission.spec.tasks,
+                cpus: job.submission.spec.room.cpus,
+                spec,
+                by_run: true,
+                accepted: false,
+                told_done: false,
+                told_cancelled: None,
+                wants_cancel: false,
+                cancel_at: None,
+                submit_at: at,
+            };
+            self.users.push(user);
+            self.at(at + 1_000, Event::UserNext(self.users.len() - 1));
+        }
+        self.runners.push(Runner {
+            path: format!("/api/graphs/{}/runs", asked.graph.name),
+            body: json!({"run": asked.run, "packed": packing::pack(asked)}),
+            plan,
+            first,
+            accepted: false,
+            cancel_at: None,
+            cancelled: false,
+            state: String::new(),
+            ended_at: None,
+            counts: Value::Null,
+        });
+        self.at(at, Event::RunNext(self.runners.len() - 1));
+        self.runners.len() - 1
+    }
+
+    pub(super) fn run_next(&mut self, r: usize) {
+        let node = self.rng.random_range(0..NODES);
+        let runner = &self.runners[r];
+        let run = runner.body["run"].as_str().unwrap_or("");
+        let path = format!("{}/{run}", runner.path);
+        if !runner.accepted {
+            let (path, body) = (runner.path.clone(), runner.body.to_string().into_bytes());
+            self.ask(node, "POST", &path, body, Asked::RunBegin(r));
+        } else if runner.cancel_at.is_some_and(|at| at <= self.now) && !runner.cancelled {
+            let path = format!("{path}/cancel");
+            self.ask(node, "POST", &path, Vec::new(), Asked::RunCancel(r));
+        } else {
+            self.ask(node, "GET", &path, Vec::new(), Asked::RunShow(r));
+        }
+        self.after(1_500, Event::RunNext(r));
+    }
+
+    pub(super) fn run_answered(
+        &mut self,
+        r: usize,
+        begin: bool,
+        cancel: bool,
+        status: u16,
+        body: &Value,
+    ) {
+        let now = self.now;
+        let runner = &mut self.runners[r];
+        let unknown = body["error"] == "no such path";
+        if runner.accepted && status == 404 && !unknown {
+            self.broken
+                .push(format!("run lost: {} is {status} {body}", runner.path));
+            return;
+        }
+        if !matches!(status, 200 | 201) {
+            if begin && matches!(status, 400 | 422) {
+                self.broken.push(format!("run refused: {body}"));
+            }
+            return;
+        }
+        runner.accepted = true;
+        runner.cancelled |= cancel;
+        let state = body["state"].as_str().unwrap_or("").to_string();
+        let ended = matches!(state.as_str(), "success" | "failed" | "cancelled");
+        if runner.ended() && state != runner.state {
+            self.broken.push(format!(
+                "run went back: {} was {} and is {state}",
+                runner.path, runner.state
+            ));
+            return;
+        }
+        if ended && runner.ended_at.is_none() {
+            runner.ended_at = Some(now);
+            runner.counts = body["counts"].clone();
+        }
+        runner.state = state;
+    }
+}
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -3,6 +3,7 @@
 use super::cloud::Machine;
 use super::{LEASE_MS, NODES};
 use serde_json::{Value, json};
+use std::collections::BTreeSet;
 
 #[derive(Clone)]
 pub struct WorkerTask {
@@ -39,6 +40,8 @@
     pub sick: bool,
     /// How long a task runs, about.
     pub run_ms: u64,
+    /// Jobs whose tasks fail.
+    pub bad: BTreeSet<String>,
     pub tasks: Vec<WorkerTask>,
 }
 
@@ -62,6 +65,7 @@
             next_report: 0,
             sick: false,
             run_ms: 3_000,
+            bad: BTreeSet::new(),
             tasks: Vec::new(),
         }
     }
@@ -123,7 +127,9 @@
                         .tasks
                         .iter()
                         .any(|t| t.name == name && t.state != "exited");
-                    let (state, why) = match (other, self.sick) {
+                    let job = name.split('/').next().unwrap_or("");
+                    let fails = self.sick || self.bad.contains(job);
+                    let (state, why) = match (other, fails) {
                         (true, _) => ("exited", "in_use"),
                         (_, true) => ("exited", "error"),
                         _ => ("pulling", ""),
