snowshelf graph submit, show and cancel; a run is driven however often it is asked about

Need: runs from the command line. Cause of a failure found on the way by the process test: a question about a run counted as a look at it, so that a run asked about five times a second stood still for ever. Change: the commands; when a run was last driven is kept apart. The process test, which asks that often, guards it.

--- a/crates/client/src/calendar.rs
+++ b/crates/client/src/calendar.rs
@@ -235,7 +235,7 @@
     }
 }
 
-fn client(asking: &Asking) -> Client {
+pub(crate) fn client(asking: &Asking) -> Client {
     Client::new(&asking.server, Duration::from_secs(asking.wait))
 }
 
@@ -268,7 +268,7 @@
     text
 }
 
-fn told(asking: &Asking, answer: Result<Answer, Unanswered>) -> Told {
+pub(crate) fn answered(asking: &Asking, answer: Result<Answer, Unanswered>) -> Told {
     let answer = match answer {
         Ok(answer) => answer,
         Err(why) => return unanswered(why),
@@ -310,7 +310,7 @@
         let page = format!("{path}?limit={PAGE}{}", after.unwrap_or_default());
         let answer = match client.ask(Method::Get, &page, None) {
             Ok(answer) if answer.status == 200 => answer,
-            other => return told(asking, other),
+            other => return answered(asking, other),
         };
         let found = answer.body["items"].as_array().cloned().unwrap_or_default();
         let more = answer.body["more"] == json!(true) && !found.is_empty();
@@ -335,12 +335,12 @@
         true => (Method::Post, format!("{path}/{}/cancel", n.name)),
         false => (Method::Get, format!("{path}/{}", n.name)),
     };
-    told(&n.asking, client(&n.asking).ask(method, &path, None))
+    answered(&n.asking, client(&n.asking).ask(method, &path, None))
 }
 
 fn send(asking: &Asking, method: Method, path: &str, body: Result<Value, String>) -> Told {
     match body {
-        Ok(body) => told(asking, client(asking).ask(method, path, Some(&body))),
+        Ok(body) => answered(asking, client(asking).ask(method, path, Some(&body))),
         Err(why) => wrong(why),
     }
 }
--- a/crates/client/src/graph.rs
+++ b/crates/client/src/graph.rs
@@ -1,16 +1,17 @@
 //! `snowshelf graph`: files of graphs, read here, since reading them is no controller's work.
 
-use crate::{End, Told};
+use crate::calendar::{Asking, answered, client};
+use crate::http::Method;
+use crate::{End, Told, table};
 use clap::{Args, Subcommand};
 use jiff::Timestamp;
-use serde_json::Value;
+use serde_json::{Value, json};
 use snowshelf_dag::graph::Graph;
 use snowshelf_dag::mapping::Mapping;
 use snowshelf_dag::plan::{Plan, expand};
 use snowshelf_dag::problem::{Problem, Problems};
-use snowshelf_dag::template::RunFacts;
-use snowshelf_dag::{check, native, serialized, show};
-use std::collections::BTreeMap;
+use snowshelf_dag::run::Asked;
+use snowshelf_dag::{check, native, packing, serialized, show};
 use std::path::{Path, PathBuf};
 
 /// A file, and how its steps become jobs.
@@ -59,8 +60,31 @@
     pub until: Option<Timestamp>,
 }
 
+#[derive(Args, Clone, Debug)]
+pub struct Submit {
+    #[command(flatten)]
+    pub expand: Expand,
+    #[command(flatten)]
+    pub asking: Asking,
+}
+
+/// A run by its graph and its id.
+#[derive(Args, Clone, Debug)]
+pub struct Run {
+    pub graph: String,
+    pub run: String,
+    #[command(flatten)]
+    pub asking: Asking,
+}
+
 #[derive(Subcommand, Clone, Debug)]
 pub enum Graphs {
+    /// Begins a run.
+    Submit(Submit),
+    /// Shows a run and where each of its steps stands.
+    Show(Run),
+    /// Cancels a run.
+    Cancel(Run),
     /// Checks a file whole and shows its graph as a tree.
     Check(Check),
     /// Prints the jobs that a run would be, a line of JSON each.
@@ -150,18 +174,103 @@
 }
 
 impl Expand {
-    fn plan(&self) -> Result<Plan, Vec<Problem>> {
+    fn asked(&self) -> Result<Asked, Vec<Problem>> {
         let (graph, mapping) = self.file.checked()?;
         let from = self.from.unwrap_or_else(Timestamp::now);
-        let facts = RunFacts {
-            graph: graph.name.clone(),
+        Ok(Asked {
             run: self.run.clone(),
+            graph,
+            mapping,
+            params: self.param.iter().cloned().collect(),
             from,
             until: self.until.unwrap_or(from),
-            zone: graph.time_zone.clone().unwrap_or_else(|| "UTC".to_string()),
-            params: self.param.iter().cloned().collect::<BTreeMap<_, _>>(),
+        })
+    }
+
+    fn plan(&self) -> Result<Plan, Vec<Problem>> {
+        let asked = self.asked()?;
+        expand(
+            &asked.graph,
+            &asked.mapping,
+            &asked.facts(),
+            &self.file.shown(),
+        )
+    }
+}
+
+impl Submit {
+    fn run(&self) -> Told {
+        // Everything that is wrong is told here, with its place in the file.
+        let checked = self.expand.plan().and_then(|_| self.expand.asked());
+        let asked = match checked {
+            Ok(asked) => asked,
+            Err(problems) => return told(Err(problems)),
+        };
+        let path = format!("/api/graphs/{}/runs", asked.graph.name);
+        let body = json!({"run": asked.run, "packed": packing::pack(&asked)});
+        answered(
+            &self.asking,
+            client(&self.asking).ask(Method::Post, &path, Some(&body)),
+        )
+    }
+}
+
+/// Steps asked for at once.
+const PAGE: usize = 500;
+
+impl Run {
+    fn path(&self) -> String {
+        format!("/api/graphs/{}/runs/{}", self.graph, self.run)
+    }
+
+    fn show(&self) -> Told {
+        let client = client(&self.asking);
+        let mut steps: Vec<Value> = Vec::new();
+        let body = loop {
+            let path = format!("{}?after={}&limit={PAGE}", self.path(), steps.len());
+            let answer = match client.ask(Method::Get, &path, None) {
+                Ok(answer) if answer.status == 200 => answer,
+                other => return answered(&self.asking, other),
+            };
+            let found = answer.body["steps"].as_array().cloned().unwrap_or_default();
+            let more = answer.body["more"] == json!(true) && !found.is_empty();
+            steps.extend(found);
+            if !more {
+                break answer.body;
+            }
+        };
+        let mut whole = body.clone();
+        whole["steps"] = json!(steps);
+        let out = match self.asking.json {
+            true => format!("{whole:#}"),
+            false => {
+                let text = |field: &str| table::plain(&body[field]);
+                let head = format!(
+                    "{}/{}: {} ({})",
+                    text("graph"),
+                    text("run"),
+                    text("state"),
+                    text("counts")
+                );
+                format!(
+                    "{head}\n{}",
+                    table::rows(
+                        &[
+                            ("STEP", "step"),
+                            ("COPY", "copy"),
+                            ("STANDS", "stand"),
+                            ("JOB", "job")
+                        ],
+                        &steps
+                    )
+                )
+            }
         };
-        expand(&graph, &mapping, &facts, &self.file.shown())
+        Told {
+            out,
+            err: String::new(),
+            end: End::Done,
+        }
     }
 }
 
@@ -209,6 +318,15 @@
                 let lines: Vec<String> = plan.lines().map(|line| line.to_string()).collect();
                 lines.join("\n")
             })),
+            Graphs::Submit(command) => command.run(),
+            Graphs::Show(run) => run.show(),
+            Graphs::Cancel(run) => {
+                let path = format!("{}/cancel", run.path());
+                answered(
+                    &run.asking,
+                    client(&run.asking).ask(Method::Post, &path, None),
+                )
+            }
             Graphs::Convert(file) => told(file.read().map(|graph| native::write(&graph))),
         }
     }
--- a/src/coordination/runs/living.rs
+++ b/src/coordination/runs/living.rs
@@ -16,7 +16,10 @@
     /// Since when a job with a timeout has run.
     running: BTreeMap<usize, Millis>,
     pub looked_at: Millis,
-    pub looked_of: u64,
+    /// When it was last driven on, and as of which changes of jobs. Guards against a run that stands
+    /// still because somebody asks about it all the time.
+    pub driven_at: Millis,
+    pub driven_of: u64,
 }
 
 impl Live {
@@ -39,7 +42,8 @@
                 plan,
                 running: BTreeMap::new(),
                 looked_at: Millis(0),
-                looked_of: 0,
+                driven_at: Millis(0),
+                driven_of: 0,
             }),
             Err(problems) => Err(problems
                 .iter()
@@ -52,7 +56,6 @@
     /// Looks at all jobs anew, and decides.
     pub fn look(&mut self, record: &RunRecord, most: usize, env: &Env) -> Decision {
         self.looked_at = env.out.now;
-        self.looked_of = env.mirror.job_changes;
         for (seen, job) in self.seen.iter_mut().zip(&self.plan.jobs) {
             if matches!(*seen, Seen::Done | Seen::Aborted | Seen::Foreign) {
                 continue;
--- a/src/coordination/runs/mod.rs
+++ b/src/coordination/runs/mod.rs
@@ -463,10 +463,11 @@
         let Some(live) = self.live.get_mut(&id).filter(|_| !busy) else {
             return;
         };
-        let age = now.since(live.looked_at);
-        if age < LOOK_GAP_MS || (age < LOOK_MS && live.looked_of == env.mirror.job_changes) {
+        let age = now.since(live.driven_at);
+        if age < LOOK_GAP_MS || (age < LOOK_MS && live.driven_of == env.mirror.job_changes) {
             return;
         }
+        (live.driven_at, live.driven_of) = (now, env.mirror.job_changes);
         let decision = live.look(&v.value, MOST_AT_ONCE, env);
         for i in &decision.submit {
             if !gateway.submit_own(&live.plan.jobs[*i].submission, env) {
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -197,7 +197,7 @@
     let folder = Folder::new();
     let (server, outside) = (free_address(), outside());
     std::fs::write(folder.0.join("settings.toml"), settings(&server, &outside)).unwrap();
-    let ops = r#"{"calendar": {"enabled": true, "capacity": [{"zone": "a", "type": "s", "machines": 5}]}}"#;
+    let ops = r#"{"graphs": {"enabled": true}, "calendar": {"enabled": true, "capacity": [{"zone": "a", "type": "s", "machines": 5}]}}"#;
     std::fs::write(folder.0.join("calendar.json"), ops).unwrap();
     let run = |words: &str| -> Output {
         let mut command = program();
@@ -235,11 +235,34 @@
         "{}",
         text(&missing)
     );
+    let graph = folder.0.join("g.yaml");
+    let yaml = "{name: harvest, params: {n: 2}, defaults: {job: {class: c, team: red, cpus: 1, mem_gb: 1, image: i, pull_gb: 1}}, \
+        steps: [{id: a}, {id: b, after: [a], sweep: {product: {x: [1, 2, 3]}}}]}";
+    std::fs::write(&graph, yaml.replace("n: 2", "n: {default: 2}")).unwrap();
+    let begin = || run(&format!("graph submit {} --run r1", graph.display()));
+    let begun = begin();
+    assert_eq!(code(&begun), 0, "{}", text(&begun));
+    assert_eq!(code(&begin()), 0, "the same run again");
     drop(controller);
     let _again = start(&folder.0);
     let shown = run("reservations show r1 --json");
     assert_eq!(code(&shown), 0, "{}", text(&shown));
     assert!(text(&shown).contains("\"cpus\": 30.0"), "{}", text(&shown));
+    let shown = run("graph show harvest r1");
+    assert_eq!(code(&shown), 0, "{}", text(&shown));
+    assert!(
+        text(&shown).contains("harvest/r1: running"),
+        "{}",
+        text(&shown)
+    );
+    assert_eq!(text(&shown).lines().count(), 6, "{}", text(&shown));
+    assert_eq!(code(&run("graph cancel harvest r1")), 0);
+    let ended = (0..50).any(|_| {
+        std::thread::sleep(Duration::from_millis(200));
+        text(&run("graph show harvest r1")).contains("harvest/r1: cancelled")
+    });
+    assert!(ended, "{}", text(&run("graph show harvest r1")));
+    assert_eq!(code(&run("graph show harvest r2")), 4);
     assert_eq!(code(&run("reservations cancel r1")), 0);
     assert_eq!(code(&run("reservations show r1")), 4);
     assert_eq!(code(&add("r2", 30)), 0);
