--- a/crates/dag/src/template.rs
+++ b/crates/dag/src/template.rs
@@ -5,10 +5,13 @@
 use minijinja::value::Serde;
 use minijinja::{Environment, UndefinedBehavior, context};
 use serde_json::Value;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
 /// Steps that a template may take, so that one without an end ends.
 const FUEL: u64 = 50_000;
+/// The same for all templates of a run.
+const ALL_FUEL: u64 = 20_000_000;
 /// Bytes that one field may become, and that a template may have.
 const MOST_BYTES: usize = 64 * 1024;
 
@@ -28,6 +31,8 @@
 pub struct Templates {
     env: Environment<'static>,
     names: minijinja::Value,
+    /// What is left of the steps that all templates of the run may take.
+    fuel: Cell<u64>,
 }
 
 fn local(at: Timestamp, zone: &TimeZone) -> ZonedDateTime {
@@ -74,7 +79,11 @@
             dag_run => context! { run_id => facts.run.as_str(), conf => minijinja::Value::from(Serde(&facts.params)) },
             macros => macros,
         };
-        Ok(Templates { env, names })
+        Ok(Templates {
+            env,
+            names,
+            fuel: Cell::new(ALL_FUEL),
+        })
     }
 
     /// Fills in one text for a step and, in a sweep, its values.
@@ -96,10 +105,18 @@
             sweep => minijinja::Value::from(Serde(sweep)),
             ..self.names.clone()
         };
+        if self.fuel.get() == 0 {
+            return Err("the run's templates take too long together".to_string());
+        }
         let template = self.env.template_from_str(text).map_err(|e| why(&e))?;
         let mut out = Bounded { bytes: Vec::new() };
-        match template.render_captured_to(names, &mut out) {
-            Ok(_) => String::from_utf8(out.bytes).map_err(|e| e.to_string()),
+        let rendered = template.render_captured_to(names, &mut out);
+        // One that fails counts as if it had used up all that it may.
+        let levels = rendered.as_ref().ok().and_then(|c| c.state().fuel_levels());
+        let used = levels.map_or(FUEL, |(used, _)| used);
+        self.fuel.set(self.fuel.get().saturating_sub(used));
+        match rendered.map(drop) {
+            Ok(()) => String::from_utf8(out.bytes).map_err(|e| e.to_string()),
             Err(_) if out.bytes.len() >= MOST_BYTES => {
                 Err(format!("becomes longer than {MOST_BYTES} bytes"))
             }
--- a/crates/dag/tests/graphs.rs
+++ b/crates/dag/tests/graphs.rs
@@ -251,6 +251,30 @@
     assert!(began.elapsed().as_secs() < 20, "{:?}", began.elapsed());
 }
 
+/// Guards against many templates that each take as long as one may: together they are bounded too.
+#[test]
+fn the_templates_of_a_run_are_bounded_together() {
+    let mut g = graph(HARVEST);
+    let copies = (0..50_000)
+        .map(|i| BTreeMap::from([("x".to_string(), json!(i))]))
+        .collect();
+    g.steps[1].sweep = Some(Sweep::List(copies));
+    g.steps[1].args = BTreeMap::from([(
+        "x".into(),
+        json!("{% for a in range(900) %}{% for b in range(900) %}{% endfor %}{% endfor %}"),
+    )]);
+    let began = std::time::Instant::now();
+    let problems = planned(&g, json!({})).unwrap_err();
+    assert!(
+        problems
+            .iter()
+            .any(|p| p.contains("take too long together")),
+        "{}",
+        problems.len()
+    );
+    assert!(began.elapsed().as_secs() < 20, "{:?}", began.elapsed());
+}
+
 /// A value that makes one copy of thousands invalid refuses all of them before anything starts.
 #[test]
 fn a_sweep_of_thousands_stands_or_falls_as_a_whole() {
--- a/src/coordination/controller/regular.rs
+++ b/src/coordination/controller/regular.rs
@@ -129,6 +129,9 @@
         let mut gateway = std::mem::take(&mut self.gateway);
         let own = std::mem::take(&mut self.own);
         runs.tick(&own, &errors, &mut gateway, &mut self.env());
+        if self.fleet.is_some() {
+            runs.tidy(&mut self.env());
+        }
         self.own = own;
         self.gateway = gateway;
         self.runs = runs;
--- a/src/coordination/env.rs
+++ b/src/coordination/env.rs
@@ -47,6 +47,8 @@
     RunAsk(u64),
     RunCancel(u64),
     RunWrite(u64),
+    /// Keys of ended runs go.
+    RunTidy(Vec<String>),
     /// An entry that was over goes: its key.
     BookingsTidy(String),
     GiveUp(PartId),
--- a/src/coordination/runs/mod.rs
+++ b/src/coordination/runs/mod.rs
@@ -39,6 +39,11 @@
 const PATIENCE_MS: u64 = 4_000;
 /// Pictures of runs that this controller does not drive, for whoever asks.
 const MOST_SHOWN: usize = 4;
+/// How long after its end a run's steps are shown, and its record is kept.
+const SHOWN_MS: u64 = 86_400_000;
+const KEPT_MS: u64 = 30 * 86_400_000;
+/// How often what is past that is looked for.
+const TIDY_MS: u64 = 5_000;
 /// Bytes of a value that its marks take.
 const SPARE_BYTES: usize = 64;
 
@@ -70,6 +75,8 @@
     broken: BTreeSet<RunId>,
     next: u64,
     turn: Option<RunId>,
+    tidy_at: Millis,
+    tidying: bool,
 }
 
 fn word(state: RunState, cancel: bool) -> &'static str {
@@ -415,6 +422,56 @@
         }
     }
 
+    /// Removes what of ended runs is not shown or kept any more, with writes that nobody else needs.
+    pub fn tidy(&mut self, env: &mut Env) {
+        let now = env.now();
+        if self.tidying || now.since(self.tidy_at) < TIDY_MS {
+            return;
+        }
+        self.tidy_at = now;
+        let wall = env.out.wall_ms;
+        let over = |record: &RunRecord, ms: u64| {
+            record
+                .ended
+                .is_some_and(|at| wall.saturating_sub(at.0) > ms)
+        };
+        let mirror = &env.mirror;
+        let most = env.terms.txn_ops.min(8);
+        let shown = mirror.plans.keys().filter(|(id, _, _)| {
+            let record = mirror.runs.get(id).map(|v| &v.value);
+            record.is_some_and(|r| over(r, SHOWN_MS))
+        });
+        let mut keys: Vec<String> = shown
+            .map(|(id, h, n)| plan_key(id, h, *n))
+            .take(most)
+            .collect();
+        let mut txn = Txn::default();
+        if keys.is_empty()
+            && let Some((id, v)) = mirror.runs.iter().find(|(_, v)| over(&v.value, KEPT_MS))
+        {
+            txn = txn.when(run_key(id), v.version);
+            keys.push(run_key(id));
+        }
+        if keys.is_empty() || !env.store.may(now, Class::Spare, keys.len()) {
+            return;
+        }
+        for key in &keys {
+            txn = txn.then(Change::Delete { key: key.clone() });
+        }
+        self.tidying = true;
+        env.store.txn(env.out, Tag::RunTidy(keys), &txn);
+    }
+
+    /// The answer to such a removal.
+    pub fn tidied(&mut self, keys: &[String], result: TxnResult, env: &mut Env) {
+        self.tidying = false;
+        if let TxnResult::Done(revision) = result {
+            for key in keys {
+                env.mirror.apply(key, None, revision);
+            }
+        }
+    }
+
     /// The regular work: the next of the runs that this controller drives.
     pub fn tick(
         &mut self,
--- a/tests/running.rs
+++ b/tests/running.rs
@@ -228,6 +228,41 @@
     }
 }
 
+/// Guards against a run larger than what the state service takes at once: its limits shrink to 768 bytes
+/// a value and 4 changes a transaction before the run is begun.
+#[test]
+fn a_large_run_goes_in_pieces() {
+    let weather = Weather { roll: true, ..CALM };
+    let mut world = world(6, weather, 0);
+    let mut asked = harvest("large");
+    let step = asked.graph.steps[0].clone();
+    asked.graph.steps = (0..240)
+        .map(|i| snowshelf_dag::graph::Step {
+            id: format!("step-{i}"),
+            after: (i >= 12)
+                .then(|| format!("step-{}", i - 12))
+                .into_iter()
+                .collect(),
+            job: serde_json::from_value(json!({"tasks": 1.0, "cpus": 0.5})).unwrap(),
+            args: BTreeMap::from([(
+                "note".to_string(),
+                json!(format!("{:x}", i * 7919 * 104_729)),
+            )]),
+            ..step.clone()
+        })
+        .collect();
+    world.run_ms = 500;
+    let run = world.add_run(90_000, &asked);
+    world.run(600_000);
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert_eq!(
+        world.runners[run].state, "success",
+        "{:?}",
+        world.runners[run].counts
+    );
+    assert_eq!(world.runners[run].counts, json!({"success": 240}));
+}
+
 /// A user's own job that happens to have the name of a run's is never taken for the run's, nor cancelled
 /// with it.
 #[test]
