--- a/crates/dag/src/check.rs
+++ b/crates/dag/src/check.rs
@@ -1,8 +1,9 @@
 //! What is wrong with a graph before anything of it starts: all of it at once.
 
-use crate::graph::{Amount, Graph, JobFields, Kind, Param, Schedule, Step};
+use crate::graph::{Amount, Graph, JobFields, Kind, Param, Step};
 use crate::mapping::Mapping;
 use crate::problem::Problems;
+use crate::schedule::timetable;
 use jiff::Timestamp;
 use jiff::tz::TimeZone;
 use serde_json::Value;
@@ -75,16 +76,10 @@
     {
         problems.add(None, "end", "lies before the start");
     }
-    match &graph.schedule {
-        Some(Schedule::EveryS(s)) if !s.is_finite() || *s < 1.0 => {
-            problems.add(None, "schedule", "must be a second at least");
-        }
-        Some(Schedule::Cron(text))
-            if text.split_whitespace().count() != 5 && !text.starts_with('@') =>
-        {
-            problems.add(None, "schedule", format!("{text:?} has not five fields"));
-        }
-        _ => {}
+    if let Some(schedule) = &graph.schedule
+        && let Err(why) = timetable(schedule, graph.time_zone.as_deref().unwrap_or("UTC"))
+    {
+        problems.add(None, "schedule", why);
     }
     for (field, n) in [
         ("max_active_runs", graph.max_active_runs),
--- a/crates/dag/src/lib.rs
+++ b/crates/dag/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod plan;
 pub mod problem;
 pub mod run;
+pub mod schedule;
 pub mod serialized;
 pub mod show;
 pub mod sweep;
