Schedules: graphs are kept, and each interval has one run

Need: runs that begin by themselves, exactly one for each interval. Change: PUT keeps a graph; the owner of its name's part begins the run of an interval that is over by every clock, whose key must not exist, and then moves on; without catching up intervals that were missed are counted and told. The beginning of runs has a module of its own. Result (stand-in world): 24 storms with skewed clocks, takeovers, outages and rolls; every interval has one run, none early; without catching up what is not run is told.

--- a/crates/model/src/records/mod.rs
+++ b/crates/model/src/records/mod.rs
@@ -20,6 +20,8 @@
 pub use owner::PartRecord;
 pub use quota::{Grant, QuotaRecord};
 pub use room::Room;
-pub use run::{RunId, RunRecord, RunState, plan_key, run_key};
+pub use run::{
+    GraphRecord, RunId, RunRecord, RunState, definition_key, graph_key, plan_key, run_key, sound,
+};
 pub use share::{Alloc, Step, StepKind};
 pub use terms::Terms;
--- a/crates/model/src/records/run.rs
+++ b/crates/model/src/records/run.rs
@@ -16,7 +16,7 @@
 /// Bytes of each name at the most, so that the keys of a run are no longer than keys may be.
 const MOST_BYTES: usize = 64;
 
-fn sound(name: &str) -> bool {
+pub fn sound(name: &str) -> bool {
     (1..=MOST_BYTES).contains(&name.len())
         && name
             .bytes()
@@ -82,3 +82,31 @@
 pub fn plan_key(run: &RunId, hash: &str, piece: u32) -> String {
     format!("plan/{run}/{hash}/{piece}")
 }
+
+/// `graph/<name>`: a graph that is kept, for its schedule. What it is stands in pieces.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct GraphRecord {
+    pub hash: String,
+    pub pieces: u32,
+    /// When it was first kept.
+    pub at: WallMs,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub paused: bool,
+    /// Every interval that ended by then has its run, or was passed over.
+    pub since: WallMs,
+    /// Intervals passed over, as nobody caught up.
+    #[serde(default)]
+    pub missed: u64,
+    /// Why it was paused, if nobody asked for it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub why: Option<String>,
+}
+
+pub fn graph_key(name: &str) -> String {
+    format!("graph/{name}")
+}
+
+/// One piece of what a graph is.
+pub fn definition_key(name: &str, hash: &str, piece: u32) -> String {
+    format!("def/{name}/{hash}/{piece}")
+}
--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -8,9 +8,9 @@
 use snowshelf_model::ids::{JobId, Member, PartId, Team, Version, WallMs};
 use snowshelf_model::protocol::cloud::MachineType;
 use snowshelf_model::records::{
-    Alloc, CALENDAR_KEY, Capability, FORMAT_KEY, Format, FormatRecord, JobRecord, JobState,
-    LEADER_KEY, PartRecord, QuotaRecord, RunId, RunRecord, WIDE, alloc_key, job_key, member_key,
-    part_key, plan_key, quota_key, run_key,
+    Alloc, CALENDAR_KEY, Capability, FORMAT_KEY, Format, FormatRecord, GraphRecord, JobRecord,
+    JobState, LEADER_KEY, PartRecord, QuotaRecord, RunId, RunRecord, WIDE, alloc_key,
+    definition_key, graph_key, job_key, member_key, part_key, plan_key, quota_key, run_key, sound,
 };
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
@@ -49,6 +49,7 @@
     Window(Name),
     Calendar,
     Run(RunId),
+    Graph,
 }
 
 /// What is remembered of a job that has ended.
@@ -96,6 +97,9 @@
     /// Runs of graphs, and pieces of what they were asked for, by hash, while they are open.
     pub runs: BTreeMap<RunId, Versioned<RunRecord>>,
     pub plans: BTreeMap<(RunId, String, u32), Rc<String>>,
+    /// Graphs that are kept, and pieces of what they are.
+    pub graphs: BTreeMap<String, Versioned<GraphRecord>>,
+    pub definitions: BTreeMap<(String, String, u32), Rc<String>>,
     /// Counts the changes of jobs' records.
     pub job_changes: u64,
     finals: HashMap<JobId, Final>,
@@ -265,6 +269,17 @@
             };
             return Some(Changed::Run(run));
         }
+        if let Some(name) = key.strip_prefix("graph/").filter(|n| sound(n)) {
+            set(&mut self.graphs, name.to_string(), key, value, version);
+            return Some(Changed::Graph);
+        }
+        if let Some(id) = split_definition(key) {
+            match value.and_then(|v| read::<String>(key, v)) {
+                Some(text) => self.definitions.insert(id, Rc::new(text)),
+                None => self.definitions.remove(&id),
+            };
+            return Some(Changed::Graph);
+        }
         if key == CALENDAR_KEY {
             self.calendar = version;
             return Some(Changed::Calendar);
@@ -311,6 +326,9 @@
         known.extend(self.parts.keys().map(|p| part_key(*p)));
         known.extend(self.quotas.keys().map(quota_key));
         known.extend(self.members.keys().map(member_key));
+        known.extend(self.graphs.keys().map(|n| graph_key(n)));
+        let definitions = self.definitions.keys();
+        known.extend(definitions.map(|(g, h, n)| definition_key(g, h, *n)));
         known.extend(self.runs.keys().map(run_key));
         known.extend(self.plans.keys().map(|(r, h, n)| plan_key(r, h, *n)));
         known.extend(self.reservations.keys().map(reservation_key));
@@ -398,6 +416,13 @@
     }
 }
 
+/// `def/<graph>/<hash>/<piece>`.
+fn split_definition(key: &str) -> Option<(String, String, u32)> {
+    let (rest, piece) = key.strip_prefix("def/")?.rsplit_once('/')?;
+    let (name, hash) = rest.rsplit_once('/')?;
+    Some((name.to_string(), hash.to_string(), piece.parse().ok()?))
+}
+
 /// `plan/<graph>/<run>/<hash>/<piece>`.
 fn split_plan(key: &str) -> Option<(RunId, String, u32)> {
     let (rest, piece) = key.strip_prefix("plan/")?.rsplit_once('/')?;
--- a/src/coordination/controller/answers.rs
+++ b/src/coordination/controller/answers.rs
@@ -196,6 +196,9 @@
             (Tag::RunCancel(id), Reply::Txn(result)) => {
                 self.with_runs(|runs, env| runs.cancelled(id, result, env));
             }
+            (Tag::GraphWrite(id), Reply::Txn(result)) => {
+                self.with_runs(|runs, env| runs.graph_written(id, result, env));
+            }
             (Tag::RunTidy(keys), Reply::Txn(result)) => {
                 self.with_runs(|runs, env| runs.tidied(&keys, result, env));
             }
--- a/src/coordination/env.rs
+++ b/src/coordination/env.rs
@@ -47,6 +47,7 @@
     RunAsk(u64),
     RunCancel(u64),
     RunWrite(u64),
+    GraphWrite(u64),
     /// Keys of ended runs go.
     RunTidy(Vec<String>),
     /// An entry that was over goes: its key.
--- a/src/coordination/runs/asking.rs
+++ b/src/coordination/runs/asking.rs
@@ -3,7 +3,7 @@
 use serde_json::Value;
 use snowshelf_dag::packing;
 use snowshelf_dag::run::Asked;
-use snowshelf_model::records::RunId;
+use snowshelf_model::records::{RunId, sound};
 
 #[derive(Debug)]
 pub enum Ask {
@@ -11,6 +11,11 @@
     Begin(RunId, Box<Asked>, String),
     Show(RunId, usize, usize),
     Cancel(RunId),
+    /// A graph to be kept, and its packed text.
+    Define(String, Box<Asked>, String),
+    ShowGraph(String),
+    /// Its schedule stands still, or goes on.
+    Pause(String, bool),
 }
 
 #[derive(Debug)]
@@ -30,6 +35,11 @@
     let rest = path.strip_prefix("/api/graphs/")?;
     let parts: Vec<&str> = rest.split('/').collect();
     Some(match (method, &parts[..]) {
+        ("PUT", [graph]) => define(graph, body),
+        ("GET", [graph]) if sound(graph) => Read::Ask(Ask::ShowGraph(graph.to_string())),
+        ("POST", [graph, what @ ("pause" | "resume")]) if sound(graph) => {
+            Read::Ask(Ask::Pause(graph.to_string(), *what == "pause"))
+        }
         ("POST", [graph, "runs"]) => begin(graph, body),
         ("GET", [graph, "runs", run]) => match RunId::new(graph, run) {
             Some(id) => Read::Ask(Ask::Show(
@@ -43,6 +53,7 @@
             Some(id) => Read::Ask(Ask::Cancel(id)),
             None => Read::NoSuchPath,
         },
+        (_, [_]) | (_, [_, "pause" | "resume"]) => Read::WrongMethod,
         (_, [_, "runs"] | [_, "runs", _] | [_, "runs", _, "cancel"]) => Read::WrongMethod,
         _ => Read::NoSuchPath,
     })
@@ -55,26 +66,43 @@
 }
 
 /// `{"packed": TEXT}`, or what is packed as it is.
-fn begin(graph: &str, body: &[u8]) -> Read {
+fn asked(graph: &str, body: &[u8]) -> Result<Asked, String> {
     let value: Value = match serde_json::from_slice(body) {
         Ok(value) => value,
-        Err(error) => return Read::Malformed(format!("body: {error}")),
+        Err(error) => return Err(format!("body: {error}")),
     };
     let asked = match value.get("packed").and_then(Value::as_str) {
         Some(text) => packing::unpack(text).map_err(|why| format!("packed: {why}")),
         None => serde_json::from_value(value).map_err(|e| e.to_string()),
     };
-    let asked: Asked = match asked {
+    let asked: Asked = asked?;
+    match asked.graph.name == graph {
+        true => Ok(asked),
+        false => Err("graph.name: is another than the path's".to_string()),
+    }
+}
+
+const NAMES: &str = "must be 1 to 64 letters, digits, '.', '_', ':', '+' or '-'";
+
+fn begin(graph: &str, body: &[u8]) -> Read {
+    let asked = match asked(graph, body) {
         Ok(asked) => asked,
         Err(why) => return Read::Malformed(why),
     };
-    if asked.graph.name != graph {
-        return Read::Malformed("graph.name: is another than the path's".to_string());
-    }
     let Some(id) = RunId::new(graph, &asked.run) else {
-        let why = "run: must be 1 to 64 letters, digits, '.', '_', ':', '+' or '-', and so the graph's name";
-        return Read::Malformed(why.to_string());
+        return Read::Malformed(format!("run: {NAMES}, and so must the graph's name"));
     };
     let text = packing::pack(&asked);
     Read::Ask(Ask::Begin(id, Box::new(asked), text))
 }
+
+fn define(graph: &str, body: &[u8]) -> Read {
+    match asked(graph, body) {
+        Ok(_) if !sound(graph) => Read::Malformed(format!("graph.name: {NAMES}")),
+        Ok(asked) => {
+            let text = packing::pack(&asked);
+            Read::Ask(Ask::Define(graph.to_string(), Box::new(asked), text))
+        }
+        Err(why) => Read::Malformed(why),
+    }
+}
--- a/src/coordination/runs/mod.rs
+++ b/src/coordination/runs/mod.rs
@@ -6,20 +6,21 @@
 //! its mark, and no others.
 
 mod asking;
+mod beginning;
 mod living;
+mod timing;
 
 pub use asking::{Ask, Read, read};
 
 use super::env::{Env, Tag};
-use super::gateway::{Gateway, never_runs};
+use super::gateway::Gateway;
 use super::ownership::Ownership;
 use crate::bookkeeping::store::{Class, TxnResult};
 use crate::outbox::Response;
+use beginning::Beginning;
 use living::Live;
 use serde_json::{Value, json};
-use snowshelf_dag::packing;
-use snowshelf_dag::plan::expand;
-use snowshelf_dag::run::{Asked, Decision, End, Stand};
+use snowshelf_dag::run::{Decision, End, Stand};
 use snowshelf_model::ids::{Attempt, ConnId, JobId, Millis, TaskNo, Version, WallMs, part_of};
 use snowshelf_model::protocol::state::{Change, Txn};
 use snowshelf_model::protocol::user;
@@ -34,9 +35,6 @@
 const LOOK_GAP_MS: u64 = 100;
 /// Jobs submitted at one look.
 const MOST_AT_ONCE: usize = 8;
-/// Runs that wait to be written, and how long one may.
-const MOST_WAITING: usize = 16;
-const PATIENCE_MS: u64 = 4_000;
 /// Pictures of runs that this controller does not drive, for whoever asks.
 const MOST_SHOWN: usize = 4;
 /// How long after its end a run's steps are shown, and its record is kept.
@@ -44,19 +42,6 @@
 const KEPT_MS: u64 = 30 * 86_400_000;
 /// How often what is past that is looked for.
 const TIDY_MS: u64 = 5_000;
-/// Bytes of a value that its marks take.
-const SPARE_BYTES: usize = 64;
-
-/// A run that is being written: its pieces first.
-struct Beginning {
-    conn: ConnId,
-    id: RunId,
-    record: RunRecord,
-    pieces: Vec<String>,
-    written: usize,
-    underway: usize,
-    since: Millis,
-}
 
 /// A question that waits for the word that the picture is not behind.
 enum Question {
@@ -75,6 +60,7 @@
     broken: BTreeSet<RunId>,
     next: u64,
     turn: Option<RunId>,
+    timing: timing::Timing,
     tidy_at: Millis,
     tidying: bool,
 }
@@ -120,160 +106,9 @@
             Ask::Begin(id, asked, text) => self.begin(conn, id, &asked, &text, env),
             Ask::Show(id, after, limit) => self.ask(Question::Show(conn, id, after, limit), env),
             Ask::Cancel(id) => self.cancel(conn, id, env),
-        }
-    }
-
-    fn begin(&mut self, conn: ConnId, id: RunId, asked: &Asked, text: &str, env: &mut Env) {
-        let respond = |env: &mut Env, status: u16, body: Value| {
-            env.out
-                .respond(conn, Response::new(status, body.to_string().into_bytes()));
-        };
-        if let Some(v) = env.mirror.runs.get(&id) {
-            // By run and not by what it was asked for: a retry may be written otherwise.
-            let body = brief(&id, &v.value);
-            respond(env, 200, body);
-            return;
-        }
-        let open = env
-            .mirror
-            .runs
-            .iter()
-            .filter(|(_, v)| v.value.state == RunState::Open);
-        let of_graph = open
-            .clone()
-            .filter(|(other, _)| other.graph == id.graph)
-            .count();
-        let most = asked
-            .graph
-            .max_active_runs
-            .map_or(usize::MAX, |n| n as usize);
-        let full = open.count() >= env.cfg.ops.graphs.most_runs || of_graph >= most;
-        if full || self.beginning.len() >= MOST_WAITING {
-            let why = if of_graph >= most {
-                "the graph has as many active runs as it may"
-            } else {
-                "too many runs"
-            };
-            env.out.respond(conn, Response::later(503, why, 5));
-            return;
-        }
-        let plan = match expand(&asked.graph, &asked.mapping, &asked.facts(), "graph") {
-            Ok(plan) => plan,
-            Err(problems) => {
-                respond(
-                    env,
-                    422,
-                    json!({"error": "the graph cannot run", "problems": problems}),
-                );
-                return;
-            }
-        };
-        let most = env.cfg.ops.graphs.most_jobs;
-        let never = plan
-            .jobs
-            .iter()
-            .find_map(|j| Some((j, never_runs(&j.submission.spec, env)?)));
-        if let Some((job, why)) = never {
-            respond(env, 422, json!({"error": format!("{}: {why}", job.step)}));
-            return;
-        }
-        if plan.jobs.len() > most {
-            respond(
-                env,
-                422,
-                json!({"error": format!("the run has more than {most} jobs")}),
-            );
-            return;
-        }
-        let bytes = env.terms.value_bytes.saturating_sub(SPARE_BYTES);
-        let pieces = packing::pieces(text, bytes);
-        let record = RunRecord {
-            state: RunState::Open,
-            at: WallMs(env.out.wall_ms),
-            jobs: plan.jobs.len() as u32,
-            hash: packing::hash(text),
-            pieces: pieces.len() as u32,
-            cancel: false,
-            failed: Default::default(),
-            counts: BTreeMap::new(),
-            ended: None,
-        };
-        self.beginning.push_back(Beginning {
-            conn,
-            id,
-            record,
-            pieces,
-            written: 0,
-            underway: 0,
-            since: env.now(),
-        });
-    }
-
-    /// Writes what the first of the beginning runs still lacks, and then its record.
-    fn write_beginning(&mut self, env: &mut Env) {
-        let now = env.now();
-        while let Some(first) = self.beginning.front()
-            && first.underway == 0
-            && now.since(first.since) > PATIENCE_MS
-        {
-            let later = Response::later(503, "could not be written yet", 2);
-            env.out.respond(first.conn, later);
-            self.beginning.pop_front();
-        }
-        let Some(first) = self.beginning.front_mut().filter(|b| b.underway == 0) else {
-            return;
-        };
-        let key = run_key(&first.id);
-        let mut txn = Txn::default().when(key.clone(), Version(0));
-        let room = env.store.room(now, Class::Accept).min(env.terms.txn_ops);
-        let rest = first
-            .pieces
-            .iter()
-            .enumerate()
-            .skip(first.written)
-            .take(room);
-        for (i, piece) in rest {
-            let key = plan_key(&first.id, &first.record.hash, i as u32);
-            txn = txn.then(Change::write(key, piece));
-        }
-        if txn.changes.is_empty() && first.written == first.pieces.len() {
-            txn = txn.then(Change::write(key, &first.record));
-        }
-        if txn.changes.is_empty() || !env.store.may(now, Class::Accept, txn.changes.len()) {
-            return;
-        }
-        first.underway = txn.changes.len();
-        env.store.txn(env.out, Tag::RunBegin, &txn);
-    }
-
-    /// The answer to a part of a run's beginning.
-    pub fn begun(&mut self, result: TxnResult, env: &mut Env) {
-        let Some(first) = self.beginning.front_mut() else {
-            return;
-        };
-        let underway = std::mem::take(&mut first.underway);
-        match result {
-            TxnResult::Done(_) if first.written < first.pieces.len() => {
-                first.written += underway;
-                first.since = env.out.now;
-            }
-            TxnResult::Done(revision) => {
-                if let Some(done) = self.beginning.pop_front() {
-                    let value = serde_json::to_value(&done.record).unwrap_or_default();
-                    env.mirror.apply(&run_key(&done.id), Some(&value), revision);
-                    tracing::info!(run = %done.id, jobs = done.record.jobs, "a run is taken");
-                    let body = brief(&done.id, &done.record).to_string();
-                    env.out
-                        .respond(done.conn, Response::new(201, body.into_bytes()));
-                }
-            }
-            _ => {
-                // A retry finds the run, or writes the same pieces again.
-                if let Some(lost) = self.beginning.pop_front() {
-                    let later = Response::later(503, "the state service did not answer", 1);
-                    env.out.respond(lost.conn, later);
-                }
-            }
+            Ask::Define(name, asked, text) => self.define(conn, &name, &asked, &text, env),
+            Ask::ShowGraph(name) => self.show_graph(conn, &name, env),
+            Ask::Pause(name, paused) => self.pause(conn, &name, paused, env),
         }
     }
 
@@ -412,16 +247,6 @@
         }
     }
 
-    /// Sends everybody who waits away: the state service does not serve.
-    pub fn refuse_all(&mut self, env: &mut Env) {
-        while let Some(first) = self.beginning.pop_front() {
-            env.out.respond(
-                first.conn,
-                Response::later(503, "the state service is away", 2),
-            );
-        }
-    }
-
     /// Removes what of ended runs is not shown or kept any more, with writes that nobody else needs.
     pub fn tidy(&mut self, env: &mut Env) {
         let now = env.now();
@@ -481,6 +306,7 @@
         env: &mut Env,
     ) {
         self.write_beginning(env);
+        self.time(own, env);
         if env.mirror.runs.is_empty() && self.live.is_empty() {
             return;
         }
--- a/tests/running.rs
+++ b/tests/running.rs
@@ -3,10 +3,12 @@
 mod world;
 
 use serde_json::json;
-use snowshelf_dag::graph::Graph;
+use snowshelf_dag::graph::{Graph, Schedule};
 use snowshelf_dag::run::Asked;
+use snowshelf_dag::schedule::run_of;
 use std::collections::BTreeMap;
-use world::{Sabotage, Weather, World};
+use world::booking::BEGAN;
+use world::{SKEW_MS, Sabotage, Weather, World};
 
 const CALM: Weather = Weather {
     graphs: true,
@@ -263,6 +265,100 @@
     assert_eq!(world.runners[run].counts, json!({"success": 240}));
 }
 
+/// Guards against intervals that are left out, or run twice, by takeovers, outages, a roll, or clocks that
+/// differ: each has one run, which begins when it is over by every clock, in the storms and after them.
+#[test]
+fn every_interval_has_one_run() {
+    for seed in 1..=24 {
+        let weather = Weather {
+            roll: seed % 4 == 0,
+            ..STORM
+        };
+        let mut world = world(seed, weather, 2);
+        let mut asked = harvest("kept");
+        asked.graph.name = "clock".to_string();
+        asked.graph.steps.truncate(1);
+        asked.graph.catch_up = seed % 3 != 0;
+        asked.graph.schedule = Some(Schedule::EveryS(7.0));
+        let began = (BEGAN / 1000) as i64;
+        let start = jiff::Timestamp::from_second(began + 4).unwrap();
+        asked.graph.start = Some(start.to_string());
+        // The runs' jobs are nobody's in this world.
+        for n in 0..40 {
+            let from = start
+                .checked_add(jiff::SignedDuration::from_secs(7 * n))
+                .unwrap();
+            let run = Asked {
+                run: run_of(from),
+                from,
+                until: from
+                    .checked_add(jiff::SignedDuration::from_secs(7))
+                    .unwrap(),
+                ..asked.clone()
+            };
+            world.expect_run(&run);
+        }
+        world.keep_graph(5_000, &asked);
+        world.run(200_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        let dump = world.state.dump();
+        let runs: BTreeMap<String, u64> = dump
+            .iter()
+            .filter_map(|line| {
+                let (key, value) = line.strip_prefix("run/clock/")?.split_once(' ')?;
+                let value: serde_json::Value = serde_json::from_str(value).ok()?;
+                Some((key.split('@').next()?.to_string(), value["at"].as_u64()?))
+            })
+            .collect();
+        let due: Vec<(String, u64)> = (0..)
+            .map(|n| 4_000 + 7_000 * n)
+            .take_while(|from| from + 7_000 + 2_000 < 200_000)
+            .map(|from| {
+                (
+                    run_of(jiff::Timestamp::from_millisecond((BEGAN + from) as i64).unwrap()),
+                    from + 7_000,
+                )
+            })
+            .collect();
+        for (run, at) in &runs {
+            let over = due
+                .iter()
+                .find(|(r, _)| r == run)
+                .map(|(_, over)| BEGAN + over);
+            // The clock that told it may be fast by as much as clocks may differ.
+            assert!(
+                over.is_none_or(|over| *at >= over + SKEW_MS),
+                "seed {seed}: {run} at {at}"
+            );
+        }
+        let missing = due
+            .iter()
+            .filter(|(run, _)| !runs.contains_key(run))
+            .count();
+        let told: u64 = dump
+            .iter()
+            .filter_map(|line| line.strip_prefix("graph/clock@")?.split_once(' '))
+            .filter_map(|(_, value)| {
+                serde_json::from_str::<serde_json::Value>(value).ok()?["missed"].as_u64()
+            })
+            .sum();
+        if asked.graph.catch_up {
+            assert_eq!((missing, told), (0, 0), "seed {seed}: {runs:?}");
+        } else {
+            // Those before it was kept are not missed; all others are there or told.
+            let before = due
+                .iter()
+                .filter(|(run, _)| runs.keys().next().is_some_and(|first| run < first))
+                .count() as u64;
+            assert!(
+                missing as u64 - before.min(missing as u64) <= told && told <= missing as u64,
+                "seed {seed}: {missing} missing, {told} told"
+            );
+            assert!(runs.len() > 15, "seed {seed}: {}", runs.len());
+        }
+    }
+}
+
 /// A user's own job that happens to have the name of a run's is never taken for the run's, nor cancelled
 /// with it.
 #[test]
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -31,7 +31,7 @@
 pub const CANCEL_MS: u64 = 35_000;
 pub const TEAM_LIMIT: f64 = 24.0;
 /// How far a clock may be from true time (`skew_ms` in the settings below).
-const SKEW_MS: u64 = 100;
+pub const SKEW_MS: u64 = 100;
 /// What the state service takes once its limits have shrunk.
 const NEXT_KB: f64 = 0.75;
 const NEXT_OPS: usize = 4;
@@ -124,6 +124,7 @@
     UserNext(usize),
     BookNext(usize),
     RunNext(usize),
+    KeepNext(usize),
 }
 
 struct Node {
@@ -166,6 +167,8 @@
     RunBegin(usize),
     RunCancel(usize),
     RunShow(usize),
+    /// A graph kept.
+    Keep(usize),
 }
 
 pub struct World {
@@ -181,6 +184,7 @@
     pub users: Vec<User>,
     pub bookers: Vec<booking::Booker>,
     pub runners: Vec<running::Runner>,
+    pub keepers: Vec<running::Keeper>,
     /// Jobs whose tasks fail wherever they start.
     pub bad_jobs: BTreeSet<String>,
     seen: booking::Seen,
@@ -249,6 +253,7 @@
             users: Vec::new(),
             bookers: Vec::new(),
             runners: Vec::new(),
+            keepers: Vec::new(),
             bad_jobs: BTreeSet::new(),
             seen: booking::Seen::default(),
             run_ms: 3_000,
@@ -488,7 +493,7 @@
             return;
         };
         // One clock is slow, one right, one fast.
-        let skew = if self.weather.calendar {
+        let skew = if self.weather.calendar || self.weather.graphs {
             SKEW_MS * i as u64
         } else {
             SKEW_MS
@@ -666,6 +671,7 @@
             Event::UserNext(u) => self.user_next(u),
             Event::BookNext(b) => self.book_next(b),
             Event::RunNext(r) => self.run_next(r),
+            Event::KeepNext(k) => self.keep_next(k),
         }
         for (node, life, call, body) in self.state.timeouts(self.now) {
             let result = CallResult::Answer { status: 200, body };
@@ -886,6 +892,7 @@
         let word = value["Estado"].as_str().unwrap_or("").to_string();
         match asked {
             Asked::Worker(name, number) => self.worker_answer(&name, number, status, &body),
+            Asked::Keep(k) => self.kept(k, status),
             Asked::RunBegin(r) => self.run_answered(r, true, false, status, &value),
             Asked::RunCancel(r) => self.run_answered(r, false, true, status, &value),
             Asked::RunShow(r) => self.run_answered(r, false, false, status, &value),
--- a/tests/world/running.rs
+++ b/tests/world/running.rs
@@ -28,11 +28,71 @@
     }
 }
 
+/// A graph that somebody keeps, until it is taken.
+pub struct Keeper {
+    path: String,
+    body: Value,
+    pub taken: bool,
+}
+
 impl World {
+    pub fn keep_graph(&mut self, at: u64, asked: &RunAsked) {
+        self.keepers.push(Keeper {
+            path: format!("/api/graphs/{}", asked.graph.name),
+            body: json!({"packed": packing::pack(asked)}),
+            taken: false,
+        });
+        self.at(at, Event::KeepNext(self.keepers.len() - 1));
+    }
+
+    pub(super) fn keep_next(&mut self, k: usize) {
+        let node = self.rng.random_range(0..NODES);
+        let keeper = &self.keepers[k];
+        if keeper.taken {
+            return;
+        }
+        let (path, body) = (keeper.path.clone(), keeper.body.to_string().into_bytes());
+        self.ask(node, "PUT", &path, body, Asked::Keep(k));
+        self.after(1_500, Event::KeepNext(k));
+    }
+
+    pub(super) fn kept(&mut self, k: usize, status: u16) {
+        self.keepers[k].taken |= matches!(status, 200 | 201);
+    }
+
+    /// The jobs of a run that a schedule may begin: known to the checks, asked for by nobody.
+    pub fn expect_run(&mut self, asked: &RunAsked) {
+        let plan =
+            expand(&asked.graph, &asked.mapping, &asked.facts(), "g").expect("a sound graph");
+        self.run_users(&plan);
+    }
+
     /// A user who begins a run; each of its jobs counts as a user's that nobody submits.
     pub fn add_run(&mut self, at: u64, asked: &RunAsked) -> usize {
         let plan =
             expand(&asked.graph, &asked.mapping, &asked.facts(), "g").expect("a sound graph");
+        let first = self.run_users(&plan);
+        for user in first..self.users.len() {
+            self.at(at + 1_000, Event::UserNext(user));
+        }
+        self.runners.push(Runner {
+            path: format!("/api/graphs/{}/runs", asked.graph.name),
+            body: json!({"run": asked.run, "packed": packing::pack(asked)}),
+            plan,
+            first,
+            accepted: false,
+            cancel_at: None,
+            cancelled: false,
+            state: String::new(),
+            ended_at: None,
+            counts: Value::Null,
+        });
+        self.at(at, Event::RunNext(self.runners.len() - 1));
+        self.runners.len() - 1
+    }
+
+    /// A plan's jobs as users who submit nothing; where the first of them stands.
+    fn run_users(&mut self, plan: &Plan) -> usize {
         let first = self.users.len();
         for job in &plan.jobs {
             let spec = snowshelf_model::protocol::user::submission_body(&job.submission);
@@ -52,25 +112,11 @@
                 told_cancelled: None,
                 wants_cancel: false,
                 cancel_at: None,
-                submit_at: at,
+                submit_at: 0,
             };
             self.users.push(user);
-            self.at(at + 1_000, Event::UserNext(self.users.len() - 1));
         }
-        self.runners.push(Runner {
-            path: format!("/api/graphs/{}/runs", asked.graph.name),
-            body: json!({"run": asked.run, "packed": packing::pack(asked)}),
-            plan,
-            first,
-            accepted: false,
-            cancel_at: None,
-            cancelled: false,
-            state: String::new(),
-            ended_at: None,
-            counts: Value::Null,
-        });
-        self.at(at, Event::RunNext(self.runners.len() - 1));
-        self.runners.len() - 1
+        first
     }
 
     pub(super) fn run_next(&mut self, r: usize) {
