--- a/crates/client/src/graph.rs
+++ b/crates/client/src/graph.rs
@@ -49,9 +49,9 @@
     /// A parameter, as NAME=VALUE: JSON, or a text.
     #[arg(long, value_name = "NAME=VALUE", value_parser = param)]
     pub param: Vec<(String, Value)>,
-    /// The run's id.
-    #[arg(long, default_value = "trial")]
-    pub run: String,
+    /// The run's id, which is not used by another; none: `manual-` and the time.
+    #[arg(long)]
+    pub run: Option<String>,
     /// The beginning of the interval that it is for; none: now.
     #[arg(long, value_name = "TIME")]
     pub from: Option<Timestamp>,
@@ -68,6 +68,14 @@
     pub asking: Asking,
 }
 
+/// A graph that is kept.
+#[derive(Args, Clone, Debug)]
+pub struct Kept {
+    pub graph: String,
+    #[command(flatten)]
+    pub asking: Asking,
+}
+
 /// A run by its graph and its id.
 #[derive(Args, Clone, Debug)]
 pub struct Run {
@@ -85,6 +93,14 @@
     Show(Run),
     /// Cancels a run.
     Cancel(Run),
+    /// Keeps a graph, so that its schedule begins runs; in place of what was kept under its name.
+    Keep(Submit),
+    /// Shows a kept graph: how far its schedule is, what was missed.
+    Status(Kept),
+    /// Lets a kept graph's schedule stand still.
+    Pause(Kept),
+    /// Lets it go on.
+    Resume(Kept),
     /// Checks a file whole and shows its graph as a tree.
     Check(Check),
     /// Prints the jobs that a run would be, a line of JSON each.
@@ -177,8 +193,9 @@
     fn asked(&self) -> Result<Asked, Vec<Problem>> {
         let (graph, mapping) = self.file.checked()?;
         let from = self.from.unwrap_or_else(Timestamp::now);
+        let manual = || format!("manual-{}", Timestamp::now().strftime("%Y%m%dT%H%M%SZ"));
         Ok(Asked {
-            run: self.run.clone(),
+            run: self.run.clone().unwrap_or_else(manual),
             graph,
             mapping,
             params: self.param.iter().cloned().collect(),
@@ -199,19 +216,30 @@
 }
 
 impl Submit {
-    fn run(&self) -> Told {
+    /// Begins a run, or keeps the graph.
+    fn send(&self, keep: bool) -> Told {
         // Everything that is wrong is told here, with its place in the file.
         let checked = self.expand.plan().and_then(|_| self.expand.asked());
         let asked = match checked {
             Ok(asked) => asked,
             Err(problems) => return told(Err(problems)),
         };
-        let path = format!("/api/graphs/{}/runs", asked.graph.name);
+        let path = format!("/api/graphs/{}", asked.graph.name);
+        let (method, path) = match keep {
+            true => (Method::Put, path),
+            false => (Method::Post, format!("{path}/runs")),
+        };
         let body = json!({"run": asked.run, "packed": packing::pack(&asked)});
-        answered(
-            &self.asking,
-            client(&self.asking).ask(Method::Post, &path, Some(&body)),
-        )
+        let answer = client(&self.asking).ask(method, &path, Some(&body));
+        answered(&self.asking, answer)
+    }
+}
+
+impl Kept {
+    fn send(&self, method: Method, what: &str) -> Told {
+        let path = format!("/api/graphs/{}{what}", self.graph);
+        let answer = client(&self.asking).ask(method, &path, None);
+        answered(&self.asking, answer)
     }
 }
 
@@ -318,7 +346,11 @@
                 let lines: Vec<String> = plan.lines().map(|line| line.to_string()).collect();
                 lines.join("\n")
             })),
-            Graphs::Submit(command) => command.run(),
+            Graphs::Submit(command) => command.send(false),
+            Graphs::Keep(command) => command.send(true),
+            Graphs::Status(kept) => kept.send(Method::Get, ""),
+            Graphs::Pause(kept) => kept.send(Method::Post, "/pause"),
+            Graphs::Resume(kept) => kept.send(Method::Post, "/resume"),
             Graphs::Show(run) => run.show(),
             Graphs::Cancel(run) => {
                 let path = format!("{}/cancel", run.path());
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -263,6 +263,29 @@
     });
     assert!(ended, "{}", text(&run("graph show harvest r1")));
     assert_eq!(code(&run("graph show harvest r2")), 4);
+    let clock = folder.0.join("clock.yaml");
+    std::fs::write(
+        &clock,
+        yaml.replace(
+            "{name: harvest, params: {n: 2},",
+            "{name: clock, schedule: {every_s: 1},",
+        ),
+    )
+    .unwrap();
+    let keep = run(&format!("graph keep {}", clock.display()));
+    assert_eq!(code(&keep), 0, "{}", text(&keep));
+    let scheduled = (0..50).any(|_| {
+        std::thread::sleep(Duration::from_millis(200));
+        let status = run("graph status clock --json");
+        let status: serde_json::Value = serde_json::from_str(&text(&status)).unwrap();
+        status["done_until"].as_str() > Some("2020") && status["missed"] == 0 && {
+            let until: &str = status["done_until"].as_str().unwrap();
+            !text(&keep).contains(until)
+        }
+    });
+    assert!(scheduled, "{}", text(&run("graph status clock")));
+    assert_eq!(code(&run("graph pause clock")), 0);
+    assert!(text(&run("graph status clock --json")).contains("\"paused\": true"));
     assert_eq!(code(&run("reservations cancel r1")), 0);
     assert_eq!(code(&run("reservations show r1")), 4);
     assert_eq!(code(&add("r2", 30)), 0);
