--- a/crates/dag-python/src/lib.rs
+++ b/crates/dag-python/src/lib.rs
@@ -2,10 +2,13 @@
 //! file is executed, and what would only be known by executing it is refused, with its line.
 
 mod building;
+mod builtins;
 mod calls;
 mod expressions;
 mod functions;
+mod graphs;
 mod statements;
+mod steps;
 mod value;
 
 use building::Reader;
