--- a/src/coordination/controller/regular.rs
+++ b/src/coordination/controller/regular.rs
@@ -118,7 +118,7 @@
     }
 
     fn tick_runs(&mut self) {
-        if !self.mirror.loaded || self.types.is_empty() {
+        if !self.mirror.loaded || self.types.is_empty() || self.runs.idle(&self.mirror) {
             return;
         }
         let mut errors = self.peers.failing(self.out.now);
--- a/src/coordination/runs/mod.rs
+++ b/src/coordination/runs/mod.rs
@@ -15,6 +15,7 @@
 use super::env::{Env, Tag};
 use super::gateway::Gateway;
 use super::ownership::Ownership;
+use crate::bookkeeping::mirror::Mirror;
 use crate::bookkeeping::store::{Class, TxnResult};
 use crate::outbox::Response;
 use beginning::Beginning;
@@ -230,6 +231,12 @@
         }
     }
 
+    /// Whether there is nothing to drive, to write, or to remove.
+    pub fn idle(&self, mirror: &Mirror) -> bool {
+        let kept = mirror.runs.is_empty() && mirror.graphs.is_empty() && mirror.plans.is_empty();
+        kept && self.beginning.is_empty() && self.live.is_empty()
+    }
+
     /// Makes a picture of a run, if its pieces are there.
     fn picture(&mut self, id: &RunId, record: &RunRecord, env: &Env) {
         if self.live.contains_key(id) || self.broken.contains(id) {
