A run's step waits before it is tried again, as its graph says

Need: retry_delay. Change: a run's job keeps the pause in its record, and its part's owner holds its tasks for as long after a failure. Result (stand-in world): with a pause of 60 s a step that fails three times takes over 40 s longer.

--- a/crates/model/src/records/job.rs
+++ b/crates/model/src/records/job.rs
@@ -80,6 +80,9 @@
     /// Whether a graph's run has submitted it: nobody else's job is ever a run's.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub run: bool,
+    /// Of a run's job: how long its tasks wait after a failure, in milliseconds.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub pause_ms: u64,
     /// When it was done; only in the wide format.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ended: Option<WallMs>,
@@ -89,6 +92,10 @@
     *n == 0
 }
 
+fn is_none(n: &u64) -> bool {
+    *n == 0
+}
+
 impl JobRecord {
     /// Whether it needs other jobs.
     pub fn has_needs(&self) -> bool {
--- a/src/coordination/gateway/accepting.rs
+++ b/src/coordination/gateway/accepting.rs
@@ -261,6 +261,7 @@
         needs_pieces: accept.pieces,
         ended: None,
         run: accept.run,
+        pause_ms: accept.pause_ms,
     };
     if accept.needs.iter().any(lost) {
         let parts = Vec::new();
--- a/src/coordination/gateway/mod.rs
+++ b/src/coordination/gateway/mod.rs
@@ -26,6 +26,7 @@
     since: Millis,
     /// A graph's run submits it; nobody waits for an answer.
     run: bool,
+    pause_ms: u64,
 }
 
 /// A submission whose needs are being written in pieces, before its own key makes them count.
--- a/src/coordination/gateway/submitting.rs
+++ b/src/coordination/gateway/submitting.rs
@@ -76,6 +76,7 @@
             pieces: 0,
             since: env.now(),
             run: false,
+            pause_ms: 0,
         };
         if let Err(later) = self.take(accept, known, env) {
             env.out.respond(conn, later);
@@ -111,7 +112,7 @@
 
     /// Takes a job of a graph's run, with room that users' submissions leave; false if not now. Once
     /// it is accepted the mirror has it; a try that fails is made again by the run.
-    pub fn submit_own(&mut self, submission: &Submission, env: &mut Env) -> bool {
+    pub fn submit_own(&mut self, submission: &Submission, pause_ms: u64, env: &mut Env) -> bool {
         let job = &submission.job;
         let queued = self.queue.iter().any(|a| a.job == *job);
         let checked = self.checking.values().any(|(a, _)| a.job == *job);
@@ -133,6 +134,7 @@
             pieces: 0,
             since: env.now(),
             run: true,
+            pause_ms,
         };
         self.take(accept, false, env).is_ok()
     }
--- a/src/coordination/runs/mod.rs
+++ b/src/coordination/runs/mod.rs
@@ -22,7 +22,9 @@
 use living::Live;
 use serde_json::{Value, json};
 use snowshelf_dag::run::{Decision, End, Stand};
-use snowshelf_model::ids::{Attempt, ConnId, JobId, Millis, TaskNo, Version, WallMs, part_of};
+use snowshelf_model::ids::{
+    Attempt, ConnId, JobId, Millis, TaskNo, Version, WallMs, part_of, seconds_to_ms,
+};
 use snowshelf_model::protocol::state::{Change, Txn};
 use snowshelf_model::protocol::user;
 use snowshelf_model::records::{
@@ -360,7 +362,9 @@
         (live.driven_at, live.driven_of) = (now, env.mirror.job_changes);
         let decision = live.look(&v.value, MOST_AT_ONCE, env);
         for i in &decision.submit {
-            if !gateway.submit_own(&live.plan.jobs[*i].submission, env) {
+            let job = &live.plan.jobs[*i];
+            let pause_ms = seconds_to_ms(job.retry_delay_s);
+            if !gateway.submit_own(&job.submission, pause_ms, env) {
                 break;
             }
         }
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -201,6 +201,9 @@
                     self.blame(name, job, now);
                     if let Some(j) = self.jobs.get_mut(job).filter(|j| j.spec.run) {
                         *j.errors.entry(item.task.task).or_default() += 1;
+                        if j.spec.pause_ms > 0 {
+                            j.retry_at = j.retry_at.max(now.plus(j.spec.pause_ms));
+                        }
                     }
                 }
                 Some(Why::Full) | Some(Why::InUse) => {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -90,6 +90,7 @@
         needs_pieces: 0,
         ended: None,
         run: false,
+        pause_ms: 0,
     }
 }
 
--- a/tests/running.rs
+++ b/tests/running.rs
@@ -115,6 +115,32 @@
     );
 }
 
+/// A step that is to wait before it is tried again does.
+#[test]
+fn a_failed_step_waits_before_it_is_tried_again() {
+    let ended = |pause_s: f64| {
+        let mut world = world(3, CALM, 0);
+        let mut asked = harvest("r1");
+        asked.graph.steps.truncate(1);
+        asked.graph.steps[0].job.tasks = None;
+        asked.graph.defaults.retries = Some(2);
+        asked.graph.defaults.retry_delay_s = Some(pause_s);
+        let run = world.add_run(8_000, &asked);
+        let bad = job_of(&world, run, "tally", None);
+        world.bad_jobs.insert(bad);
+        world.run(300_000);
+        assert_eq!(world.broken, Vec::<String>::new());
+        assert_eq!(world.runners[run].state, "failed");
+        world.runners[run].ended_at.unwrap()
+    };
+    let (at_once, later) = (ended(0.0), ended(60.0));
+    // Without a pause it waits for another machine than that on which it failed, some 30 s each time.
+    assert!(
+        later > at_once + 40_000 && later < at_once + 110_000,
+        "{at_once} {later}"
+    );
+}
+
 /// The same work as a graph and as jobs of a user's own: the same results, and about the same times.
 #[test]
 fn a_graph_does_as_native_jobs_do() {
