What did not succeed in a run is run again, and nothing else

Need: rerun only what failed. Change: a run names the runs before it; jobs that succeeded in one of them count as done, and needs that they met are none. Ids of earlier runs' jobs follow from the same hash, and are read where they are not known. Result (stand-in world): calm and in six storms, what had succeeded is not run again, and the rest is.

--- a/crates/client/src/graph.rs
+++ b/crates/client/src/graph.rs
@@ -68,6 +68,15 @@
     pub asking: Asking,
 }
 
+#[derive(Args, Clone, Debug)]
+pub struct Rerun {
+    #[command(flatten)]
+    pub run: Run,
+    /// The new run's id.
+    #[arg(long = "as", value_name = "ID")]
+    pub next: String,
+}
+
 /// A graph that is kept.
 #[derive(Args, Clone, Debug)]
 pub struct Kept {
@@ -93,6 +102,8 @@
     Show(Run),
     /// Cancels a run.
     Cancel(Run),
+    /// Runs again what did not succeed in an ended run, as a run of another id.
+    Rerun(Rerun),
     /// Keeps a graph, so that its schedule begins runs; in place of what was kept under its name.
     Keep(Submit),
     /// Shows a kept graph: how far its schedule is, what was missed.
@@ -201,6 +212,7 @@
             params: self.param.iter().cloned().collect(),
             from,
             until: self.until.unwrap_or(from),
+            after: Vec::new(),
         })
     }
 
@@ -347,6 +359,11 @@
                 lines.join("\n")
             })),
             Graphs::Submit(command) => command.send(false),
+            Graphs::Rerun(again) => {
+                let (path, asking) = (format!("{}/rerun", again.run.path()), &again.run.asking);
+                let body = json!({"run": again.next});
+                answered(asking, client(asking).ask(Method::Post, &path, Some(&body)))
+            }
             Graphs::Keep(command) => command.send(true),
             Graphs::Status(kept) => kept.send(Method::Get, ""),
             Graphs::Pause(kept) => kept.send(Method::Post, "/pause"),
--- a/crates/dag/examples/expansion.rs
+++ b/crates/dag/examples/expansion.rs
@@ -53,6 +53,7 @@
         params: BTreeMap::new(),
         from: jiff::Timestamp::UNIX_EPOCH,
         until: jiff::Timestamp::UNIX_EPOCH,
+        after: Vec::new(),
     };
     let before = resident_kb();
     let start = Instant::now();
--- a/crates/dag/src/run.rs
+++ b/crates/dag/src/run.rs
@@ -19,6 +19,9 @@
     pub params: BTreeMap<String, Value>,
     pub from: jiff::Timestamp,
     pub until: jiff::Timestamp,
+    /// Earlier runs of the same, the newest last: what succeeded in one of them is not run again.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub after: Vec<String>,
 }
 
 impl Asked {
--- a/src/coordination/controller/answers.rs
+++ b/src/coordination/controller/answers.rs
@@ -199,6 +199,14 @@
             (Tag::GraphWrite(id), Reply::Txn(result)) => {
                 self.with_runs(|runs, env| runs.graph_written(id, result, env));
             }
+            (Tag::RunEarlier(run, job), Reply::Get(result)) => {
+                if let GetResult::Found(item) = &result {
+                    let value = Some(&item.value);
+                    self.mirror.apply(&item.key, value, item.version);
+                }
+                let missing = matches!(result, GetResult::Missing(_));
+                self.runs.earlier(&run, &job, missing);
+            }
             (Tag::RunTidy(keys), Reply::Txn(result)) => {
                 self.with_runs(|runs, env| runs.tidied(&keys, result, env));
             }
--- a/src/coordination/env.rs
+++ b/src/coordination/env.rs
@@ -11,7 +11,7 @@
 use snowshelf_model::ids::{CallId, ConnId, JobId, MachineId, Member, Millis, PartId, Token};
 use snowshelf_model::protocol::cloud::{MachineType, release_body};
 use snowshelf_model::protocol::state::Txn;
-use snowshelf_model::records::{Capability, JobRecord, Terms};
+use snowshelf_model::records::{Capability, JobRecord, RunId, Terms};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Whom an answer of the state service is for.
@@ -47,6 +47,8 @@
     RunAsk(u64),
     RunCancel(u64),
     RunWrite(u64),
+    /// A job of an earlier run of the same.
+    RunEarlier(RunId, JobId),
     GraphWrite(u64),
     /// Keys of ended runs go.
     RunTidy(Vec<String>),
--- a/src/coordination/runs/asking.rs
+++ b/src/coordination/runs/asking.rs
@@ -11,6 +11,8 @@
     Begin(RunId, Box<Asked>, String),
     Show(RunId, usize, usize),
     Cancel(RunId),
+    /// What did not succeed in a run, as a run of another id.
+    Rerun(RunId, String),
     /// A graph to be kept, and its packed text.
     Define(String, Box<Asked>, String),
     ShowGraph(String),
@@ -53,7 +55,8 @@
             Some(id) => Read::Ask(Ask::Cancel(id)),
             None => Read::NoSuchPath,
         },
-        (_, [_]) | (_, [_, "pause" | "resume"]) => Read::WrongMethod,
+        ("POST", [graph, "runs", run, "rerun"]) => rerun(graph, run, body),
+        (_, [_]) | (_, [_, "pause" | "resume"]) | (_, [_, "runs", _, "rerun"]) => Read::WrongMethod,
         (_, [_, "runs"] | [_, "runs", _] | [_, "runs", _, "cancel"]) => Read::WrongMethod,
         _ => Read::NoSuchPath,
     })
@@ -96,6 +99,20 @@
     Read::Ask(Ask::Begin(id, Box::new(asked), text))
 }
 
+fn rerun(graph: &str, run: &str, body: &[u8]) -> Read {
+    let Some(id) = RunId::new(graph, run) else {
+        return Read::NoSuchPath;
+    };
+    let value: Result<Value, _> = serde_json::from_slice(body);
+    let next = value
+        .ok()
+        .and_then(|v| v.get("run")?.as_str().map(str::to_string));
+    match next.filter(|next| sound(next) && next != run) {
+        Some(next) => Read::Ask(Ask::Rerun(id, next)),
+        None => Read::Malformed(format!("run: must name another run, and {NAMES}")),
+    }
+}
+
 fn define(graph: &str, body: &[u8]) -> Read {
     match asked(graph, body) {
         Ok(_) if !sound(graph) => Read::Malformed(format!("graph.name: {NAMES}")),
--- a/src/coordination/runs/beginning.rs
+++ b/src/coordination/runs/beginning.rs
@@ -1,6 +1,7 @@
 //! How a run, or a graph that is kept, becomes durable: its pieces first, then the record that makes them
 //! count, and only then is anybody told.
 
+use super::living::asked_of;
 use super::{Runs, brief};
 use crate::bookkeeping::store::{Class, TxnResult};
 use crate::coordination::env::{Env, Tag};
@@ -12,6 +13,7 @@
 use snowshelf_dag::run::Asked;
 use snowshelf_model::ids::{ConnId, Millis, Version, WallMs};
 use snowshelf_model::protocol::state::{Change, Txn};
+use snowshelf_model::protocol::user;
 use snowshelf_model::records::{RunId, RunRecord, RunState, plan_key, run_key};
 use std::collections::BTreeMap;
 
@@ -137,6 +139,31 @@
         }
     }
 
+    /// Begins a run of what did not succeed in an ended one.
+    pub(super) fn rerun(&mut self, conn: ConnId, id: &RunId, next: String, env: &mut Env) {
+        let told = |env: &mut Env, status: u16, why: &str| {
+            env.out
+                .respond(conn, Response::new(status, user::error(why)));
+        };
+        let Some(record) = env.mirror.runs.get(id).map(|v| v.value.clone()) else {
+            told(env, 404, "no such run");
+            return;
+        };
+        if record.state == RunState::Open {
+            told(env, 409, "the run has not ended");
+            return;
+        }
+        let Some(Ok(mut asked)) = asked_of(id, &record, env) else {
+            told(env, 409, "what the run was asked for is not kept any more");
+            return;
+        };
+        asked.after.push(std::mem::replace(&mut asked.run, next));
+        if let Some(id) = RunId::new(&id.graph, &asked.run) {
+            let text = packing::pack(&asked);
+            self.begin(conn, id, &asked, &text, env);
+        }
+    }
+
     fn give_up(&mut self, why: &str, after_s: u64, env: &mut Env) {
         if let Some(lost) = self.beginning.pop_front()
             && let Some(conn) = lost.conn
--- a/src/coordination/runs/living.rs
+++ b/src/coordination/runs/living.rs
@@ -2,9 +2,10 @@
 
 use crate::coordination::env::Env;
 use snowshelf_dag::packing;
-use snowshelf_dag::plan::{Plan, expand};
-use snowshelf_dag::run::{Decision, Seen, decide};
+use snowshelf_dag::plan::{Plan, expand, job_id};
+use snowshelf_dag::run::{Asked, Decision, Seen, decide};
 use snowshelf_model::ids::{JobId, Millis};
+use snowshelf_model::protocol::user::Submission;
 use snowshelf_model::records::{JobState, RunId, RunRecord};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -13,6 +14,10 @@
     pub active: Option<usize>,
     /// What was last seen of each job; ends stay, whatever the picture forgets.
     seen: Vec<Seen>,
+    /// Ids of each job in earlier runs, and whether it succeeded in one of them; the latter is known once
+    /// all of the former have been looked up.
+    earlier: Vec<Vec<JobId>>,
+    inherited: Vec<bool>,
     /// Since when a job with a timeout has run.
     running: BTreeMap<usize, Millis>,
     pub looked_at: Millis,
@@ -22,21 +27,36 @@
     pub driven_of: u64,
 }
 
+/// What a run was asked for, once all its pieces are there.
+pub(super) fn asked_of(id: &RunId, record: &RunRecord, env: &Env) -> Option<Result<Asked, String>> {
+    let mut text = String::new();
+    for piece in 0..record.pieces {
+        let key = (id.clone(), record.hash.clone(), piece);
+        text.push_str(env.mirror.plans.get(&key)?);
+    }
+    Some(packing::unpack(&text))
+}
+
 impl Live {
     /// From its pieces, once all are there; an error if they are none that can be expanded.
     pub fn build(id: &RunId, record: &RunRecord, env: &Env) -> Option<Result<Live, String>> {
-        let mut text = String::new();
-        for piece in 0..record.pieces {
-            let key = (id.clone(), record.hash.clone(), piece);
-            text.push_str(env.mirror.plans.get(&key)?);
-        }
-        let asked = match packing::unpack(&text) {
+        let asked = match asked_of(id, record, env)? {
             Ok(asked) => asked,
             Err(why) => return Some(Err(why)),
         };
         let plan = expand(&asked.graph, &asked.mapping, &asked.facts(), "run");
         Some(match plan {
             Ok(plan) => Ok(Live {
+                earlier: plan
+                    .jobs
+                    .iter()
+                    .map(|j| {
+                        let runs = asked.after.iter();
+                        runs.map(|run| job_id(&id.graph, run, &j.step, j.copy))
+                            .collect()
+                    })
+                    .collect(),
+                inherited: vec![false; plan.jobs.len()],
                 seen: vec![Seen::Not; plan.jobs.len()],
                 active: asked.graph.max_active_tasks.map(|n| n as usize),
                 plan,
@@ -53,6 +73,52 @@
         })
     }
 
+    /// Looks up what became of jobs in earlier runs; the ids of some that must be read first, if any.
+    pub fn inherit(&mut self, most: usize, env: &Env) -> Vec<JobId> {
+        let mut unknown = Vec::new();
+        for (i, ids) in self.earlier.iter_mut().enumerate() {
+            ids.retain(|id| match env.mirror.final_of(id) {
+                Some(end) => {
+                    self.inherited[i] |= end.run && end.state == JobState::Done;
+                    false
+                }
+                // Open, or not known here.
+                None => !self.inherited[i],
+            });
+            if self.inherited[i] {
+                ids.clear();
+                self.seen[i] = Seen::Done;
+            } else if unknown.len() < most {
+                unknown.extend(ids.first().cloned());
+            }
+        }
+        unknown
+    }
+
+    /// That a job was never submitted in an earlier run.
+    pub fn never(&mut self, id: &JobId) {
+        for ids in &mut self.earlier {
+            ids.retain(|other| other != id);
+        }
+    }
+
+    /// Whether all earlier runs have been looked up.
+    pub fn inherits(&self) -> bool {
+        self.earlier.iter().all(Vec::is_empty)
+    }
+
+    /// A job as it is submitted: without the needs that an earlier run has met.
+    pub fn submission(&self, i: usize) -> Submission {
+        let job = &self.plan.jobs[i];
+        let mut submission = job.submission.clone();
+        let met = |id: &JobId| {
+            let mut above = job.after.iter();
+            above.any(|a| self.inherited[*a] && self.plan.jobs[*a].submission.job == *id)
+        };
+        submission.needs.retain(|id| !met(id));
+        submission
+    }
+
     /// Looks at all jobs anew, and decides.
     pub fn look(&mut self, record: &RunRecord, most: usize, env: &Env) -> Decision {
         self.looked_at = env.out.now;
--- a/src/coordination/runs/mod.rs
+++ b/src/coordination/runs/mod.rs
@@ -28,7 +28,7 @@
 use snowshelf_model::protocol::state::{Change, Txn};
 use snowshelf_model::protocol::user;
 use snowshelf_model::records::{
-    Capability, RunId, RunRecord, RunState, part_key, plan_key, run_key,
+    Capability, RunId, RunRecord, RunState, job_key, part_key, plan_key, run_key,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -109,6 +109,7 @@
             Ask::Begin(id, asked, text) => self.begin(conn, id, &asked, &text, env),
             Ask::Show(id, after, limit) => self.ask(Question::Show(conn, id, after, limit), env),
             Ask::Cancel(id) => self.cancel(conn, id, env),
+            Ask::Rerun(id, next) => self.rerun(conn, &id, next, env),
             Ask::Define(name, asked, text) => self.define(conn, &name, &asked, &text, env),
             Ask::ShowGraph(name) => self.show_graph(conn, &name, env),
             Ask::Pause(name, paused) => self.pause(conn, &name, paused, env),
@@ -360,11 +361,20 @@
             return;
         }
         (live.driven_at, live.driven_of) = (now, env.mirror.job_changes);
+        if !live.inherits() {
+            for job in live.inherit(MOST_AT_ONCE, env) {
+                if env.store.may(now, Class::Reads, 0) {
+                    let tag = Tag::RunEarlier(id.clone(), job.clone());
+                    env.store.get(env.out, tag, &job_key(&job), 1_500);
+                }
+            }
+            return;
+        }
         let decision = live.look(&v.value, MOST_AT_ONCE, env);
         for i in &decision.submit {
             let job = &live.plan.jobs[*i];
             let pause_ms = seconds_to_ms(job.retry_delay_s);
-            if !gateway.submit_own(&job.submission, pause_ms, env) {
+            if !gateway.submit_own(&live.submission(*i), pause_ms, env) {
                 break;
             }
         }
@@ -425,6 +435,16 @@
         self.writing.insert(self.next, (id.clone(), record));
     }
 
+    /// The answer about a job of an earlier run; the mirror has it by now, if there is one.
+    pub fn earlier(&mut self, run: &RunId, job: &JobId, missing: bool) {
+        if let Some(live) = self.live.get_mut(run) {
+            live.driven_at = Millis(0);
+            if missing {
+                live.never(job);
+            }
+        }
+    }
+
     /// The answer to such a write; whatever it leaves open, the feed tells, and it is decided anew.
     pub fn written(&mut self, id: u64, result: TxnResult, env: &mut Env) {
         let Some((run, record)) = self.writing.remove(&id) else {
--- a/tests/running.rs
+++ b/tests/running.rs
@@ -50,6 +50,7 @@
         params: BTreeMap::new(),
         from: "2027-09-01T00:00:00Z".parse().unwrap(),
         until: "2027-09-02T00:00:00Z".parse().unwrap(),
+        after: Vec::new(),
     }
 }
 
@@ -115,6 +116,69 @@
     );
 }
 
+/// What failed is run again, and what it held up, and nothing that had succeeded; in storms too.
+#[test]
+fn only_what_did_not_succeed_is_run_again() {
+    for (seed, weather) in [
+        (2, CALM),
+        (3, STORM),
+        (4, STORM),
+        (5, STORM),
+        (6, STORM),
+        (7, STORM),
+        (8, STORM),
+    ] {
+        let mut world = world(seed, weather, 2);
+        let run = world.add_run(8_000, &harvest("r1"));
+        let bad = job_of(&world, run, "weigh", Some(2));
+        world.bad_jobs.insert(bad);
+        while !world.runners[run].ended() && world.now < 300_000 {
+            let until = world.now + 1_000;
+            world.run(until);
+        }
+        assert!(world.runners[run].ended(), "seed {seed}");
+        let succeeded: Vec<(String, Option<usize>)> = world.runners[run]
+            .plan
+            .jobs
+            .iter()
+            .filter(|j| {
+                world
+                    .finished
+                    .get(j.submission.job.as_str())
+                    .is_some_and(|f| f.len() == j.submission.spec.tasks as usize)
+            })
+            .map(|j| (j.step.clone(), j.copy))
+            .collect();
+        let again = Asked {
+            after: vec!["r1".to_string()],
+            ..harvest("r2")
+        };
+        let next = world.rerun(world.now, run, &again);
+        world.run(600_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(
+            world.runners[next].state, "success",
+            "seed {seed}: {}",
+            world.runners[next].counts
+        );
+        for (step, copy) in &succeeded {
+            let job = job_of(&world, next, step, *copy);
+            assert!(
+                !world.finished.contains_key(&job),
+                "seed {seed}: {step} {copy:?} ran again"
+            );
+        }
+        assert!(
+            done(&world, &job_of(&world, next, "weigh", Some(2))),
+            "seed {seed}"
+        );
+        assert!(
+            done(&world, &job_of(&world, next, "sheet", None)),
+            "seed {seed}"
+        );
+    }
+}
+
 /// A step that is to wait before it is tried again does.
 #[test]
 fn a_failed_step_waits_before_it_is_tried_again() {
--- a/tests/world/running.rs
+++ b/tests/world/running.rs
@@ -9,6 +9,8 @@
 
 pub struct Runner {
     path: String,
+    /// Where it is begun, if it runs again what an earlier one left.
+    begin: Option<String>,
     body: Value,
     pub plan: Plan,
     /// Where its jobs stand among the users.
@@ -77,6 +79,7 @@
         }
         self.runners.push(Runner {
             path: format!("/api/graphs/{}/runs", asked.graph.name),
+            begin: None,
             body: json!({"run": asked.run, "packed": packing::pack(asked)}),
             plan,
             first,
@@ -119,13 +122,44 @@
         first
     }
 
+    /// A user who has what did not succeed in a run run again. Needs that the run has met are none of
+    /// its jobs'.
+    pub fn rerun(&mut self, at: u64, run: usize, again: &RunAsked) -> usize {
+        let next = self.add_run(at, again);
+        let path = format!(
+            "{}/{}/rerun",
+            self.runners[run].path,
+            self.runners[run].body["run"].as_str().unwrap_or("")
+        );
+        self.runners[next].begin = Some(path);
+        self.runners[next].body = json!({"run": again.run});
+        let (first, before) = (self.runners[next].first, self.runners[run].first);
+        for i in 0..self.runners[next].plan.jobs.len() {
+            // What it needs was done by the earlier run, or will be by this one.
+            let met = |need: &usize| {
+                let user = &self.users[before + need - first];
+                let done = self.finished.get(&user.job).map_or(0, |f| f.len());
+                done == user.tasks as usize
+            };
+            let needs: Vec<usize> = self.users[first + i]
+                .needs
+                .iter()
+                .copied()
+                .filter(|n| !met(n))
+                .collect();
+            self.users[first + i].needs = needs;
+        }
+        next
+    }
+
     pub(super) fn run_next(&mut self, r: usize) {
         let node = self.rng.random_range(0..NODES);
         let runner = &self.runners[r];
         let run = runner.body["run"].as_str().unwrap_or("");
         let path = format!("{}/{run}", runner.path);
         if !runner.accepted {
-            let (path, body) = (runner.path.clone(), runner.body.to_string().into_bytes());
+            let path = runner.begin.clone().unwrap_or(runner.path.clone());
+            let body = runner.body.to_string().into_bytes();
             self.ask(node, "POST", &path, body, Asked::RunBegin(r));
         } else if runner.cancel_at.is_some_and(|at| at <= self.now) && !runner.cancelled {
             let path = format!("{path}/cancel");
