--- a/crates/dag/src/graph.rs
+++ b/crates/dag/src/graph.rs
@@ -3,7 +3,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// What must have become of the steps above for a step to start.
 #[derive(
@@ -240,6 +240,12 @@
 }
 
 impl Graph {
+    /// Where each step stands.
+    pub fn places(&self) -> HashMap<&str, usize> {
+        let steps = self.steps.iter().enumerate();
+        steps.map(|(i, s)| (s.id.as_str(), i)).collect()
+    }
+
     pub fn step(&self, id: &str) -> Option<&Step> {
         self.steps.iter().find(|s| s.id == id)
     }
--- a/crates/dag/src/plan.rs
+++ b/crates/dag/src/plan.rs
@@ -62,12 +62,7 @@
 
 /// The steps in an order in which each comes after those above it; the graph has no cycle.
 fn order(graph: &Graph) -> Vec<usize> {
-    let at: HashMap<&str, usize> = graph
-        .steps
-        .iter()
-        .enumerate()
-        .map(|(i, s)| (s.id.as_str(), i))
-        .collect();
+    let at = graph.places();
     let mut left: Vec<usize> = graph.steps.iter().map(|s| s.after.len()).collect();
     let mut below: Vec<Vec<usize>> = vec![Vec::new(); graph.steps.len()];
     for (i, step) in graph.steps.iter().enumerate() {
--- a/crates/dag/src/show.rs
+++ b/crates/dag/src/show.rs
@@ -6,12 +6,7 @@
 
 /// The layer of each step: one more than the deepest of those above it. Cycles end the count.
 fn layers(graph: &Graph) -> Vec<usize> {
-    let at: HashMap<&str, usize> = graph
-        .steps
-        .iter()
-        .enumerate()
-        .map(|(i, s)| (s.id.as_str(), i))
-        .collect();
+    let at = graph.places();
     let mut layers = vec![0; graph.steps.len()];
     for _ in 0..graph.steps.len() {
         let mut moved = false;
@@ -138,12 +133,7 @@
         "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{width}\" height=\"{height}\" font-family=\"sans-serif\" font-size=\"12\">\n\
          <rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n"
     );
-    let at: HashMap<&str, usize> = graph
-        .steps
-        .iter()
-        .enumerate()
-        .map(|(i, s)| (s.id.as_str(), i))
-        .collect();
+    let at = graph.places();
     for (i, step) in graph.steps.iter().enumerate() {
         for above in step.after.iter().filter_map(|a| at.get(a.as_str())) {
             let (x1, y1) = (places[*above].0 + BOX.0, places[*above].1 + BOX.1 / 2);
