--- a/tests/running.rs
+++ b/tests/running.rs
@@ -116,6 +116,39 @@
     );
 }
 
+/// A controller is killed after each single write of a run, from its first piece to its end: whoever takes
+/// over goes on, and nothing is doubled or left out.
+#[test]
+fn a_run_survives_a_kill_after_any_write() {
+    let mut after = 0;
+    loop {
+        let mut world = world(11, CALM, 0);
+        let run = world.add_run(8_000, &harvest("r1"));
+        world.run(7_900);
+        world.kill_after = Some(after);
+        world.run(200_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "after {after}");
+        let runner = &world.runners[run];
+        assert_eq!(
+            runner.state,
+            "success",
+            "after {after}: {:?}",
+            world.unsettled()
+        );
+        assert_eq!(
+            runner.counts,
+            json!({"success": 9, "skipped": 1}),
+            "after {after}"
+        );
+        if world.kill_after.is_some() {
+            // There were not so many writes.
+            break;
+        }
+        after += 1;
+    }
+    assert!(after > 30, "{after}");
+}
+
 /// What failed is run again, and what it held up, and nothing that had succeeded; in storms too.
 #[test]
 fn only_what_did_not_succeed_is_run_again() {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -185,6 +185,8 @@
     pub bookers: Vec<booking::Booker>,
     pub runners: Vec<running::Runner>,
     pub keepers: Vec<running::Keeper>,
+    /// After so many more writes the controller that made the last one is killed, its answer lost.
+    pub kill_after: Option<u64>,
     /// Jobs whose tasks fail wherever they start.
     pub bad_jobs: BTreeSet<String>,
     seen: booking::Seen,
@@ -254,6 +256,7 @@
             bookers: Vec::new(),
             runners: Vec::new(),
             keepers: Vec::new(),
+            kill_after: None,
             bad_jobs: BTreeSet::new(),
             seen: booking::Seen::default(),
             run_ms: 3_000,
@@ -600,6 +603,14 @@
                     Target::Cloud => Some(self.cloud_call(method, &path, &body)),
                     Target::Worker(_) => Some((409, b"{}".to_vec())),
                 };
+                let wrote = matches!(target, Target::State) && path == "/txn";
+                let wrote = wrote && String::from_utf8_lossy(&body).contains("\"Apply\"");
+                if let Some(left) = self.kill_after.filter(|_| wrote) {
+                    self.kill_after = left.checked_sub(1);
+                    if left == 0 {
+                        self.handle(Event::Crash(node));
+                    }
+                }
                 if let Some((status, body)) = reply
                     && answered
                 {
