The large run's test passes in debug builds too

Cause: its notes multiply in 32 bits, which a debug build refuses and a release build wraps silently; the README's test command builds for release, so nobody saw it. Ruled out: an overflow in the code under test.

The change: the product is taken in 64 bits. The notes differ from before; what is asserted does not.

--- a/tests/running.rs
+++ b/tests/running.rs
@@ -371,7 +371,7 @@
             job: serde_json::from_value(json!({"tasks": 1.0, "cpus": 0.5})).unwrap(),
             args: BTreeMap::from([(
                 "note".to_string(),
-                json!(format!("{:x}", i * 7919 * 104_729)),
+                json!(format!("{:x}", i64::from(i) * 7919 * 104_729)),
             )]),
             ..step.clone()
         })
