Refusals, query parameters and the skew of clocks are worked out in one place each

Need: a JSON answer and a refusal were put together by hand in some twenty places, a query was taken apart in three, the skew of clocks was clamped in two, seconds turned into milliseconds beside the function that does so.

The change: Response::json and Response::error, coordination/query.rs, Settings::skew_ms, seconds_to_ms in the guard. Answers are the same byte for byte; no decision changes.

--- a/crates/calendar/src/guard.rs
+++ b/crates/calendar/src/guard.rs
@@ -3,7 +3,7 @@
 use crate::amount::Amount;
 use crate::calendar::{Calendar, Pool};
 use crate::entry::Name;
-use snowshelf_model::ids::{Team, WallMs};
+use snowshelf_model::ids::{Team, WallMs, seconds_to_ms};
 use std::collections::BTreeMap;
 
 /// A closing of a pool, present or to come.
@@ -56,7 +56,7 @@
                     window: name.clone(),
                     from: *from,
                     until: *end,
-                    lead_ms: window.lead_s.map(|s| (s * 1000.0) as u64),
+                    lead_ms: window.lead_s.map(seconds_to_ms),
                 };
                 for pool in calendar.bounds().pools.keys() {
                     if window.concerns(&pool.zone, &pool.model) {
--- a/src/coordination/bookings/asking.rs
+++ b/src/coordination/bookings/asking.rs
@@ -1,5 +1,6 @@
 //! What users ask of the calendar, by method, path and body.
 
+use crate::coordination::query::{param, split};
 use snowshelf_calendar::entry::{Malformed, Name, Wanted, Window, parse_reservation, parse_window};
 use snowshelf_calendar::refusal::Kind;
 
@@ -50,14 +51,9 @@
 const MOST_LISTED: usize = 200;
 const LISTED: usize = 100;
 
-fn param<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
-    pairs.find(|(k, _)| *k == name).map(|(_, v)| v)
-}
-
 /// Reads a request; `None` if its path is none of the calendar's.
 pub fn read_ask(method: &str, path: &str, body: &[u8]) -> Option<Asked> {
-    let (path, query) = path.split_once('?').unwrap_or((path, ""));
+    let (path, query) = split(path);
     let (kind, rest) = match (path.strip_prefix(RESERVATIONS), path.strip_prefix(WINDOWS)) {
         (Some(rest), _) => (Kind::Reservation, rest),
         (_, Some(rest)) => (Kind::Window, rest),
--- a/src/coordination/bookings/deciding.rs
+++ b/src/coordination/bookings/deciding.rs
@@ -10,7 +10,6 @@
 use snowshelf_calendar::entry::Name;
 use snowshelf_calendar::refusal::{Kind, Refusal};
 use snowshelf_model::ids::{Version, WallMs};
-use snowshelf_model::protocol::user;
 use std::sync::Arc;
 
 /// A change of one entry, on condition that it is as it was.
@@ -28,24 +27,24 @@
     pub displaced: Vec<Name>,
 }
 
-fn told(status: u16, body: Value) -> Decided {
+fn answer(response: Response) -> Decided {
     Decided {
-        response: Response::new(status, body.to_string().into_bytes()),
+        response,
         write: None,
         displaced: Vec::new(),
     }
 }
 
+fn told(status: u16, body: Value) -> Decided {
+    answer(Response::json(status, &body))
+}
+
 fn refused(refusal: &Refusal) -> Decided {
     told(refusal.status(), refusal.body())
 }
 
 fn missing() -> Decided {
-    Decided {
-        response: Response::new(404, user::error("no such entry")),
-        write: None,
-        displaced: Vec::new(),
-    }
+    answer(Response::error(404, "no such entry"))
 }
 
 /// With a write of a record, unless it is too large.
@@ -59,11 +58,7 @@
     let value = serde_json::to_value(record).unwrap_or_default();
     if !env.terms.takes(&value) {
         let why = "its record would be too large: name fewer types, or a zone";
-        return Decided {
-            response: Response::new(422, user::error(why)),
-            write: None,
-            displaced: Vec::new(),
-        };
+        return answer(Response::error(422, why));
     }
     Decided {
         write: Some(Write {
--- a/src/coordination/bookings/mod.rs
+++ b/src/coordination/bookings/mod.rs
@@ -215,7 +215,7 @@
             return None;
         }
         self.guard_at = now;
-        let skew_ms = env.cfg.settings.deployment.skew_ms.max(0.0) as u64;
+        let skew_ms = env.cfg.settings.skew_ms();
         let wall = WallMs(env.out.wall_ms);
         Some(Guard::of(&self.calendar, wall, AHEAD_MS, skew_ms))
     }
--- a/src/coordination/controller/requests.rs
+++ b/src/coordination/controller/requests.rs
@@ -3,6 +3,7 @@
 use super::{Controller, UNSERVED_MS};
 use crate::coordination::bookings::{Asked, read_ask};
 use crate::coordination::env::ReadFor;
+use crate::coordination::query;
 use crate::coordination::runs;
 use crate::outbox::{Request, Response};
 use serde_json::json;
@@ -10,9 +11,11 @@
 use snowshelf_model::protocol::user;
 use snowshelf_model::protocol::worker::{Report, redirect};
 
+const WRONG_METHOD: &str = "this path does not take that method";
+
 impl Controller {
     pub(super) fn request(&mut self, conn: ConnId, request: Request) {
-        let path = request.path.split('?').next().unwrap_or("");
+        let (path, _) = query::split(&request.path);
         match (request.method.as_str(), path) {
             ("GET", "/ready") => self.ready(conn),
             ("POST", "/checkin") => self.check_in(conn, &request.body),
@@ -43,8 +46,7 @@
                     return;
                 }
                 let Some(rest) = path.strip_prefix("/api/jobs/") else {
-                    let body = user::error("no such path");
-                    self.out.respond(conn, Response::new(404, body));
+                    self.out.respond(conn, Response::error(404, "no such path"));
                     return;
                 };
                 let (id, why) = match rest.strip_suffix("/cancel") {
@@ -56,8 +58,7 @@
                     _ => "GET",
                 };
                 if !user::is_job_id(id) {
-                    let body = user::error("no such job");
-                    self.out.respond(conn, Response::new(404, body));
+                    self.out.respond(conn, Response::error(404, "no such job"));
                 } else if method != wanted {
                     self.wrong_method(conn);
                 } else {
@@ -69,7 +70,6 @@
 
     /// A request to the calendar.
     fn asked(&mut self, conn: ConnId, asked: Asked) {
-        let told = |status, why: &str| Response::new(status, user::error(why));
         let response = match asked {
             Asked::Ask(_) if self.state_silent_ms() >= UNSERVED_MS => {
                 Response::later(503, "the state service is away", 2)
@@ -80,18 +80,17 @@
             }
             Asked::Malformed(why) => {
                 let body = json!({"error": why.to_string(), "field": why.field});
-                Response::new(400, body.to_string().into_bytes())
+                Response::json(400, &body)
             }
-            Asked::NoSuchPath => told(404, "no such path"),
-            Asked::NoSuchEntry => told(404, "no such entry"),
-            Asked::WrongMethod => told(405, "this path does not take that method"),
+            Asked::NoSuchPath => Response::error(404, "no such path"),
+            Asked::NoSuchEntry => Response::error(404, "no such entry"),
+            Asked::WrongMethod => Response::error(405, WRONG_METHOD),
         };
         self.out.respond(conn, response);
     }
 
     /// A request to graphs' runs.
     fn graphs(&mut self, conn: ConnId, read: runs::Read) {
-        let told = |status, why: &str| Response::new(status, user::error(why));
         let response = match read {
             runs::Read::Ask(_) if self.state_silent_ms() >= UNSERVED_MS => {
                 Response::later(503, "the state service is away", 2)
@@ -100,16 +99,15 @@
                 self.with_runs(|runs, env| runs.take(conn, ask, env));
                 return;
             }
-            runs::Read::Malformed(why) => told(400, &why),
-            runs::Read::NoSuchPath => told(404, "no such path"),
-            runs::Read::WrongMethod => told(405, "this path does not take that method"),
+            runs::Read::Malformed(why) => Response::error(400, &why),
+            runs::Read::NoSuchPath => Response::error(404, "no such path"),
+            runs::Read::WrongMethod => Response::error(405, WRONG_METHOD),
         };
         self.out.respond(conn, response);
     }
 
     fn wrong_method(&mut self, conn: ConnId) {
-        let body = user::error("this path does not take that method");
-        self.out.respond(conn, Response::new(405, body));
+        self.out.respond(conn, Response::error(405, WRONG_METHOD));
     }
 
     fn ready(&mut self, conn: ConnId) {
@@ -130,8 +128,8 @@
             Ok(report) => report,
             Err(error) => {
                 tracing::info!(%error, "malformed report");
-                let body = user::error(&error.to_string());
-                self.out.respond(conn, Response::new(400, body));
+                self.out
+                    .respond(conn, Response::error(400, &error.to_string()));
                 return;
             }
         };
--- a/src/coordination/gateway/reading.rs
+++ b/src/coordination/gateway/reading.rs
@@ -173,8 +173,7 @@
                     ReadFor::Refuse(why) => (422, why),
                     _ => (404, "no such job"),
                 };
-                env.out
-                    .respond(conn, Response::new(status, user::error(text)));
+                env.out.respond(conn, Response::error(status, text));
                 return;
             }
             GetResult::Failed => {
--- a/src/coordination/gateway/submitting.rs
+++ b/src/coordination/gateway/submitting.rs
@@ -23,8 +23,8 @@
             Ok(parsed) => parsed,
             Err(error) => {
                 tracing::info!(%error, "submission is malformed");
-                let body = user::error(&error.to_string());
-                env.out.respond(conn, Response::new(400, body));
+                env.out
+                    .respond(conn, Response::error(400, &error.to_string()));
                 return;
             }
         };
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 pub mod ownership;
 pub mod peers;
 pub mod placement;
+mod query;
 pub mod reader;
 pub mod runs;
 pub mod shard;
--- a/src/coordination/runs/asking.rs
+++ b/src/coordination/runs/asking.rs
@@ -1,5 +1,6 @@
 //! What users ask of graphs' runs, by method, path and body.
 
+use crate::coordination::query::{param, split};
 use serde_json::Value;
 use snowshelf_dag::packing;
 use snowshelf_dag::run::Asked;
@@ -33,7 +34,7 @@
 
 /// Reads a request; `None` if its path is none of the graphs'.
 pub fn read(method: &str, path: &str, body: &[u8]) -> Option<Read> {
-    let (path, query) = path.split_once('?').unwrap_or((path, ""));
+    let (path, query) = split(path);
     let rest = path.strip_prefix("/api/graphs/")?;
     let parts: Vec<&str> = rest.split('/').collect();
     Some(match (method, &parts[..]) {
@@ -63,9 +64,8 @@
 }
 
 fn number(query: &str, name: &str, otherwise: usize) -> usize {
-    let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
-    let found = pairs.find(|(k, _)| *k == name);
-    found.and_then(|(_, v)| v.parse().ok()).unwrap_or(otherwise)
+    let found = param(query, name).and_then(|v| v.parse().ok());
+    found.unwrap_or(otherwise)
 }
 
 /// `{"packed": TEXT}`, or what is packed as it is.
--- a/src/coordination/runs/beginning.rs
+++ b/src/coordination/runs/beginning.rs
@@ -13,7 +13,6 @@
 use snowshelf_dag::run::Asked;
 use snowshelf_model::ids::{ConnId, Millis, Version, WallMs};
 use snowshelf_model::protocol::state::{Change, Txn};
-use snowshelf_model::protocol::user;
 use snowshelf_model::records::{RunId, RunRecord, RunState, plan_key, run_key};
 use std::collections::BTreeMap;
 
@@ -114,8 +113,8 @@
     ) {
         if let Some(v) = env.mirror.runs.get(&id) {
             // By run and not by what it was asked for: a retry may be written otherwise.
-            let body = brief(&id, &v.value).to_string();
-            env.out.respond(conn, Response::new(200, body.into_bytes()));
+            let body = brief(&id, &v.value);
+            env.out.respond(conn, Response::json(200, &body));
             return;
         }
         let why = full(&id.graph, asked.graph.max_active_runs, env);
@@ -132,18 +131,14 @@
                     ..begin
                 });
             }
-            Err(body) => {
-                let body = body.to_string().into_bytes();
-                env.out.respond(conn, Response::new(422, body));
-            }
+            Err(body) => env.out.respond(conn, Response::json(422, &body)),
         }
     }
 
     /// Begins a run of what did not succeed in an ended one.
     pub(super) fn rerun(&mut self, conn: ConnId, id: &RunId, next: String, env: &mut Env) {
         let told = |env: &mut Env, status: u16, why: &str| {
-            env.out
-                .respond(conn, Response::new(status, user::error(why)));
+            env.out.respond(conn, Response::error(status, why));
         };
         let Some(record) = env.mirror.runs.get(id).map(|v| v.value.clone()) else {
             told(env, 404, "no such run");
@@ -216,8 +211,7 @@
                     tracing::info!(key = done.key, "a run or a graph is taken");
                     let status = if done.version == Version(0) { 201 } else { 200 };
                     if let Some(conn) = done.conn {
-                        let body = done.body.to_string().into_bytes();
-                        env.out.respond(conn, Response::new(status, body));
+                        env.out.respond(conn, Response::json(status, &done.body));
                     }
                 }
             }
--- a/src/coordination/runs/mod.rs
+++ b/src/coordination/runs/mod.rs
@@ -26,7 +26,6 @@
     Attempt, ConnId, JobId, Millis, TaskNo, Version, WallMs, part_of, seconds_to_ms,
 };
 use snowshelf_model::protocol::state::{Change, Txn};
-use snowshelf_model::protocol::user;
 use snowshelf_model::records::{
     Capability, RunId, RunRecord, RunState, job_key, part_key, plan_key, run_key,
 };
@@ -147,8 +146,7 @@
             return;
         };
         let Some(record) = env.mirror.runs.get(&run).map(|v| v.value.clone()) else {
-            env.out
-                .respond(conn, Response::new(404, user::error("no such run")));
+            env.out.respond(conn, Response::error(404, "no such run"));
             return;
         };
         let mut body = brief(&run, &record);
@@ -183,8 +181,7 @@
             body["steps"] = json!(steps);
             body["more"] = json!(after + limit < live.plan.jobs.len());
         }
-        env.out
-            .respond(conn, Response::new(200, body.to_string().into_bytes()));
+        env.out.respond(conn, Response::json(200, &body));
     }
 
     fn cancel(&mut self, conn: ConnId, id: RunId, env: &mut Env) {
@@ -194,8 +191,8 @@
             return;
         };
         if v.value.state != RunState::Open || v.value.cancel {
-            let body = brief(&id, &v.value).to_string();
-            env.out.respond(conn, Response::new(200, body.into_bytes()));
+            let body = brief(&id, &v.value);
+            env.out.respond(conn, Response::json(200, &body));
             return;
         }
         if !env.store.may(env.now(), Class::Accept, 1) {
--- a/src/coordination/runs/timing.rs
+++ b/src/coordination/runs/timing.rs
@@ -14,7 +14,6 @@
 use snowshelf_dag::schedule::{Timetable, run_of, timetable};
 use snowshelf_model::ids::{ConnId, Millis, Version, WallMs, part_of};
 use snowshelf_model::protocol::state::{Change, Txn};
-use snowshelf_model::protocol::user;
 use snowshelf_model::records::{GraphRecord, RunId, definition_key, graph_key, part_key, run_key};
 use std::collections::BTreeMap;
 
@@ -106,8 +105,7 @@
     ) {
         // Tried with its defaults, so that a schedule does not find out what is wrong with it.
         if let Err(body) = planned(asked, env) {
-            let body = body.to_string().into_bytes();
-            env.out.respond(conn, Response::new(422, body));
+            env.out.respond(conn, Response::json(422, &body));
             return;
         }
         let now = WallMs(env.out.wall_ms);
@@ -147,16 +145,15 @@
 
     pub(super) fn show_graph(&mut self, conn: ConnId, name: &str, env: &mut Env) {
         let response = match env.mirror.graphs.get(name) {
-            Some(v) => Response::new(200, view(name, &v.value).to_string().into_bytes()),
-            None => Response::new(404, user::error("no such graph")),
+            Some(v) => Response::json(200, &view(name, &v.value)),
+            None => Response::error(404, "no such graph"),
         };
         env.out.respond(conn, response);
     }
 
     pub(super) fn pause(&mut self, conn: ConnId, name: &str, paused: bool, env: &mut Env) {
         let Some(v) = env.mirror.graphs.get(name).cloned() else {
-            env.out
-                .respond(conn, Response::new(404, user::error("no such graph")));
+            env.out.respond(conn, Response::error(404, "no such graph"));
             return;
         };
         if !env.store.may(env.now(), Class::Accept, 1) {
@@ -200,7 +197,7 @@
             TxnResult::Done(revision) => {
                 let value = serde_json::to_value(&record).unwrap_or_default();
                 env.mirror.apply(&graph_key(&name), Some(&value), revision);
-                Response::new(200, view(&name, &record).to_string().into_bytes())
+                Response::json(200, &view(&name, &record))
             }
             _ => Response::later(503, "could not be settled yet", 1),
         };
@@ -243,7 +240,7 @@
     /// What one graph's schedule asks for now.
     fn due(&mut self, name: &str, version: Version, record: &GraphRecord, txn: Txn, env: &mut Env) {
         // No interval is over before it is over by every clock.
-        let skew_ms = env.cfg.settings.deployment.skew_ms.max(0.0) as u64;
+        let skew_ms = env.cfg.settings.skew_ms();
         let now = moment(WallMs(env.out.wall_ms.saturating_sub(skew_ms)));
         let Some(defined) = self.timing.defined.get(name) else {
             return;
--- a/src/outbox.rs
+++ b/src/outbox.rs
@@ -47,12 +47,19 @@
             retry_after_s: None,
         }
     }
+    /// With a JSON body.
+    pub fn json(status: u16, body: &serde_json::Value) -> Response {
+        Response::new(status, body.to_string().into_bytes())
+    }
+    /// Tells why not.
+    pub fn error(status: u16, why: &str) -> Response {
+        Response::new(status, snowshelf_model::protocol::user::error(why))
+    }
     /// Cannot be taken now: says so at once, and when to come back.
     pub fn later(status: u16, why: &str, after_s: u64) -> Response {
         Response {
-            status,
-            body: snowshelf_model::protocol::user::error(why),
             retry_after_s: Some(after_s.max(1)),
+            ..Response::error(status, why)
         }
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -265,6 +265,11 @@
         seconds_to_ms(self.deployment.workers.report_s)
     }
 
+    /// How far a host's clock may be from true time.
+    pub fn skew_ms(&self) -> u64 {
+        self.deployment.skew_ms.max(0.0) as u64
+    }
+
     /// How long a controller's own lease in the state service lasts: short beside the workers'
     /// lease, so that a dead owner's machines find a new one before their tasks are killed.
     pub fn member_ttl_ms(&self) -> u64 {
--- a/src/transport/net.rs
+++ b/src/transport/net.rs
@@ -296,8 +296,8 @@
             Parsed::Bad(status) => {
                 conn.close = true;
                 conn.socket.input.clear();
-                let body = snowshelf_model::protocol::user::error("the request cannot be read");
-                http::write_response(&mut conn.socket.output, &Response::new(status, body), true);
+                let response = Response::error(status, "the request cannot be read");
+                http::write_response(&mut conn.socket.output, &response, true);
                 self.finish_write(id);
             }
         }
