Runs and graphs share how they are unpacked, begun, written; a question is one struct

Need: a run's text and a kept graph's were joined and unpacked by two loops, what begins was put together in two places, a run's record was written and answered in two ways (its user's cancellation, its own course) that differed in whom they tell, a question was an enum of one kind, the zone's default stood in three places, and what of submissions waits was listed twice.

The change: packing::unpack_pieces, Beginning::new, Runs::write_run in the manner of write_graph, Graph::zone, set_piece and split_piece in the mirror, Gateway::waiting. What is written, in which order, and who is told stay as they were.

--- a/crates/dag/src/check.rs
+++ b/crates/dag/src/check.rs
@@ -77,7 +77,7 @@
         problems.add(None, "end", "lies before the start");
     }
     if let Some(schedule) = &graph.schedule
-        && let Err(why) = timetable(schedule, graph.time_zone.as_deref().unwrap_or("UTC"))
+        && let Err(why) = timetable(schedule, graph.zone())
     {
         problems.add(None, "schedule", why);
     }
--- a/crates/dag/src/graph.rs
+++ b/crates/dag/src/graph.rs
@@ -240,6 +240,11 @@
 }
 
 impl Graph {
+    /// The zone of its schedule and of its templates.
+    pub fn zone(&self) -> &str {
+        self.time_zone.as_deref().unwrap_or("UTC")
+    }
+
     /// Where each step stands.
     pub fn places(&self) -> HashMap<&str, usize> {
         let steps = self.steps.iter().enumerate();
--- a/crates/dag/src/packing.rs
+++ b/crates/dag/src/packing.rs
@@ -21,6 +21,15 @@
     serde_json::from_slice(&json).map_err(|e| e.to_string())
 }
 
+/// The same from its pieces; `None` where one of them is not there.
+pub fn unpack_pieces<'a>(
+    pieces: u32,
+    piece: impl Fn(u32) -> Option<&'a str>,
+) -> Option<Result<Asked, String>> {
+    let text: Option<String> = (0..pieces).map(piece).collect();
+    Some(unpack(&text?))
+}
+
 /// A short name for a packed text.
 pub fn hash(text: &str) -> String {
     let digest = Sha256::digest(text.as_bytes());
--- a/crates/dag/src/run.rs
+++ b/crates/dag/src/run.rs
@@ -31,11 +31,7 @@
             run: self.run.clone(),
             from: self.from,
             until: self.until,
-            zone: self
-                .graph
-                .time_zone
-                .clone()
-                .unwrap_or_else(|| "UTC".to_string()),
+            zone: self.graph.zone().to_string(),
             params: self.params.clone(),
         }
     }
--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -201,6 +201,17 @@
                 }
             }
         }
+        fn set_piece<K: Ord>(
+            map: &mut BTreeMap<K, Rc<String>>,
+            id: K,
+            key: &str,
+            value: Option<&Value>,
+        ) {
+            match value.and_then(|v| read(key, v)) {
+                Some(text) => map.insert(id, Rc::new(text)),
+                None => map.remove(&id),
+            };
+        }
         if let Some(rest) = key.strip_prefix("job/") {
             let job = JobId::new(rest);
             self.job_changes += 1;
@@ -263,10 +274,7 @@
         }
         if let Some((run, hash, piece)) = split_plan(key) {
             let id = (run.clone(), hash, piece);
-            match value.and_then(|v| read::<String>(key, v)) {
-                Some(text) => self.plans.insert(id, Rc::new(text)),
-                None => self.plans.remove(&id),
-            };
+            set_piece(&mut self.plans, id, key, value);
             return Some(Changed::Run(run));
         }
         if let Some(name) = key.strip_prefix("graph/").filter(|n| sound(n)) {
@@ -274,10 +282,7 @@
             return Some(Changed::Graph);
         }
         if let Some(id) = split_definition(key) {
-            match value.and_then(|v| read::<String>(key, v)) {
-                Some(text) => self.definitions.insert(id, Rc::new(text)),
-                None => self.definitions.remove(&id),
-            };
+            set_piece(&mut self.definitions, id, key, value);
             return Some(Changed::Graph);
         }
         if key == CALENDAR_KEY {
@@ -418,16 +423,21 @@
 
 /// `def/<graph>/<hash>/<piece>`.
 fn split_definition(key: &str) -> Option<(String, String, u32)> {
-    let (rest, piece) = key.strip_prefix("def/")?.rsplit_once('/')?;
-    let (name, hash) = rest.rsplit_once('/')?;
-    Some((name.to_string(), hash.to_string(), piece.parse().ok()?))
+    let (name, hash, piece) = split_piece(key.strip_prefix("def/")?)?;
+    Some((name.to_string(), hash, piece))
 }
 
 /// `plan/<graph>/<run>/<hash>/<piece>`.
 fn split_plan(key: &str) -> Option<(RunId, String, u32)> {
-    let (rest, piece) = key.strip_prefix("plan/")?.rsplit_once('/')?;
-    let (run, hash) = rest.rsplit_once('/')?;
-    Some((RunId::parse(run)?, hash.to_string(), piece.parse().ok()?))
+    let (run, hash, piece) = split_piece(key.strip_prefix("plan/")?)?;
+    Some((RunId::parse(run)?, hash, piece))
+}
+
+/// `<whose>/<hash>/<piece>`.
+fn split_piece(key: &str) -> Option<(&str, String, u32)> {
+    let (rest, piece) = key.rsplit_once('/')?;
+    let (whose, hash) = rest.rsplit_once('/')?;
+    Some((whose, hash.to_string(), piece.parse().ok()?))
 }
 
 fn split_alloc(key: &str) -> Option<(PartId, JobId)> {
--- a/src/coordination/controller/answers.rs
+++ b/src/coordination/controller/answers.rs
@@ -193,9 +193,6 @@
             (Tag::RunAsk(id), Reply::Txn(result)) => {
                 self.with_runs(|runs, env| runs.answered(id, result, env));
             }
-            (Tag::RunCancel(id), Reply::Txn(result)) => {
-                self.with_runs(|runs, env| runs.cancelled(id, result, env));
-            }
             (Tag::GraphWrite(id), Reply::Txn(result)) => {
                 self.with_runs(|runs, env| runs.graph_written(id, result, env));
             }
--- a/src/coordination/env.rs
+++ b/src/coordination/env.rs
@@ -45,7 +45,6 @@
     RunBegin,
     /// Whether the picture of a run is behind, for a question.
     RunAsk(u64),
-    RunCancel(u64),
     RunWrite(u64),
     /// A job of an earlier run of the same.
     RunEarlier(RunId, JobId),
--- a/src/coordination/gateway/submitting.rs
+++ b/src/coordination/gateway/submitting.rs
@@ -53,10 +53,7 @@
             env.out.respond(conn, later);
             return;
         }
-        let checked = self.checking.values_mut().map(|(a, _)| a);
-        let divided = self.dividing.values_mut().map(|d| &mut d.accept);
-        let mut waiting = self.queue.iter_mut().chain(checked).chain(divided);
-        if let Some(same) = waiting.find(|a| a.job == job) {
+        if let Some(same) = self.waiting().find(|a| a.job == job) {
             same.conns.push(conn);
             return;
         }
@@ -83,6 +80,13 @@
         }
     }
 
+    /// Everything taken in and not yet sent to be written.
+    fn waiting(&mut self) -> impl Iterator<Item = &mut Accept> {
+        let checked = self.checking.values_mut().map(|(a, _)| a);
+        let divided = self.dividing.values_mut().map(|d| &mut d.accept);
+        self.queue.iter_mut().chain(checked).chain(divided)
+    }
+
     /// Takes a submission in: at once, or when the jobs that it needs have been looked up.
     fn take(&mut self, accept: Accept, known: bool, env: &mut Env) -> Result<(), Response> {
         let unknown: BTreeSet<JobId> = accept
@@ -114,14 +118,11 @@
     /// it is accepted the mirror has it; a try that fails is made again by the run.
     pub fn submit_own(&mut self, submission: &Submission, pause_ms: u64, env: &mut Env) -> bool {
         let job = &submission.job;
-        let queued = self.queue.iter().any(|a| a.job == *job);
-        let checked = self.checking.values().any(|(a, _)| a.job == *job);
-        let divided = self.dividing.values().any(|d| d.accept.job == *job);
-        let sent = self.batches.values().flat_map(|b| &b.accepts);
-        let underway = queued || checked || divided || sent.into_iter().any(|a| a.job == *job);
-        let waiting = self.queue.len() + self.checking.len() + self.dividing.len();
-        if underway
-            || waiting >= OWN_WAITING
+        let waits = self.waiting().any(|a| a.job == *job);
+        let mut sent = self.batches.values().flat_map(|b| &b.accepts);
+        if waits
+            || sent.any(|a| a.job == *job)
+            || self.waiting().count() >= OWN_WAITING
             || !env.store.may(env.now(), Class::Starts, WRITES_A_JOB)
         {
             return false;
--- a/src/coordination/runs/beginning.rs
+++ b/src/coordination/runs/beginning.rs
@@ -7,6 +7,7 @@
 use crate::coordination::env::{Env, Tag};
 use crate::coordination::gateway::never_runs;
 use crate::outbox::Response;
+use serde::Serialize;
 use serde_json::{Value, json};
 use snowshelf_dag::packing;
 use snowshelf_dag::plan::{Plan, expand};
@@ -38,6 +39,30 @@
     pub since: Millis,
 }
 
+impl Beginning {
+    /// Nobody's yet, with nothing to tell. `piece_key` is the key of each piece.
+    pub(super) fn new(
+        key: String,
+        version: Version,
+        record: &impl Serialize,
+        pieces: Vec<String>,
+        piece_key: impl Fn(u32) -> String,
+        env: &Env,
+    ) -> Beginning {
+        Beginning {
+            conn: None,
+            key,
+            version,
+            record: serde_json::to_value(record).unwrap_or_default(),
+            body: Value::Null,
+            pieces: (0..).map(piece_key).zip(pieces).collect(),
+            written: 0,
+            underway: 0,
+            since: env.out.now,
+        }
+    }
+}
+
 /// A text in pieces that are small enough to be values.
 pub(super) fn pieces(text: &str, env: &Env) -> Vec<String> {
     packing::pieces(text, env.terms.value_bytes.saturating_sub(SPARE_BYTES))
@@ -57,19 +82,10 @@
         counts: BTreeMap::new(),
         ended: None,
     };
-    let keyed = pieces.into_iter().enumerate();
+    let keyed = |i| plan_key(id, &record.hash, i);
     Beginning {
-        conn: None,
-        key: run_key(id),
-        version: Version(0),
         body: brief(id, &record),
-        pieces: keyed
-            .map(|(i, p)| (plan_key(id, &record.hash, i as u32), p))
-            .collect(),
-        record: serde_json::to_value(&record).unwrap_or_default(),
-        written: 0,
-        underway: 0,
-        since: env.out.now,
+        ..Beginning::new(run_key(id), Version(0), &record, pieces, keyed, env)
     }
 }
 
--- a/src/coordination/runs/living.rs
+++ b/src/coordination/runs/living.rs
@@ -29,12 +29,10 @@
 
 /// What a run was asked for, once all its pieces are there.
 pub(super) fn asked_of(id: &RunId, record: &RunRecord, env: &Env) -> Option<Result<Asked, String>> {
-    let mut text = String::new();
-    for piece in 0..record.pieces {
+    packing::unpack_pieces(record.pieces, |piece| {
         let key = (id.clone(), record.hash.clone(), piece);
-        text.push_str(env.mirror.plans.get(&key)?);
-    }
-    Some(packing::unpack(&text))
+        env.mirror.plans.get(&key).map(|text| text.as_str())
+    })
 }
 
 impl Live {
--- a/src/coordination/runs/mod.rs
+++ b/src/coordination/runs/mod.rs
@@ -45,18 +45,21 @@
 /// How often what is past that is looked for.
 const TIDY_MS: u64 = 5_000;
 
-/// A question that waits for the word that the picture is not behind.
-enum Question {
-    Show(ConnId, RunId, usize, usize),
+/// Whoever wants to see a run, and waits for the word that the picture of it is not behind.
+struct Question {
+    conn: ConnId,
+    run: RunId,
+    /// Which of its steps are shown.
+    after: usize,
+    limit: usize,
 }
 
 #[derive(Default)]
 pub struct Runs {
     beginning: VecDeque<Beginning>,
     live: BTreeMap<RunId, Live>,
-    /// Runs whose record is being written.
-    writing: BTreeMap<u64, (RunId, RunRecord)>,
-    cancelling: BTreeMap<u64, (ConnId, RunId, RunRecord)>,
+    /// Runs whose record is being written, and whom to tell: who has cancelled it.
+    writing: BTreeMap<u64, (Option<ConnId>, RunId, RunRecord)>,
     questions: BTreeMap<u64, Question>,
     /// Runs that cannot be expanded here, told once.
     broken: BTreeSet<RunId>,
@@ -106,7 +109,7 @@
         }
         match ask {
             Ask::Begin(id, asked, text) => self.begin(conn, id, &asked, &text, env),
-            Ask::Show(id, after, limit) => self.ask(Question::Show(conn, id, after, limit), env),
+            Ask::Show(id, after, limit) => self.ask(conn, id, after, limit, env),
             Ask::Cancel(id) => self.cancel(conn, id, env),
             Ask::Rerun(id, next) => self.rerun(conn, &id, next, env),
             Ask::Define(name, asked, text) => self.define(conn, &name, &asked, &text, env),
@@ -116,26 +119,37 @@
     }
 
     /// Asks whether the picture of a run is behind.
-    fn ask(&mut self, question: Question, env: &mut Env) {
-        let Question::Show(conn, id, ..) = &question;
+    fn ask(&mut self, conn: ConnId, run: RunId, after: usize, limit: usize, env: &mut Env) {
         if !env.store.may(env.now(), Class::Reads, 0) {
             env.out
-                .respond(*conn, Response::later(503, "too many requests", 1));
+                .respond(conn, Response::later(503, "too many requests", 1));
             return;
         }
-        let known = env.mirror.runs.get(id).map(|v| v.version);
-        let txn = Txn::default().when(run_key(id), known.unwrap_or_default());
+        let known = env.mirror.runs.get(&run).map(|v| v.version);
+        let txn = Txn::default().when(run_key(&run), known.unwrap_or_default());
         self.next += 1;
         env.store
             .compare(env.out, Tag::RunAsk(self.next), &txn, 1_500);
+        let question = Question {
+            conn,
+            run,
+            after,
+            limit,
+        };
         self.questions.insert(self.next, question);
     }
 
     /// The answer to such a question.
     pub fn answered(&mut self, id: u64, result: TxnResult, env: &mut Env) {
-        let Some(Question::Show(conn, run, after, limit)) = self.questions.remove(&id) else {
+        let Some(question) = self.questions.remove(&id) else {
             return;
         };
+        let Question {
+            conn,
+            run,
+            after,
+            limit,
+        } = question;
         let TxnResult::Done(_) = result else {
             let later = Response::later(
                 503,
@@ -187,7 +201,7 @@
     fn cancel(&mut self, conn: ConnId, id: RunId, env: &mut Env) {
         let Some(v) = env.mirror.runs.get(&id).cloned() else {
             // The record may not have come yet.
-            self.ask(Question::Show(conn, id, 0, 0), env);
+            self.ask(conn, id, 0, 0, env);
             return;
         };
         if v.value.state != RunState::Open || v.value.cancel {
@@ -204,30 +218,48 @@
             cancel: true,
             ..(*v.value).clone()
         };
-        let txn = Txn::default()
-            .when(run_key(&id), v.version)
-            .then(Change::write(run_key(&id), &record));
+        self.write_run(Some(conn), id, v.version, record, Txn::default(), env);
+    }
+
+    fn write_run(
+        &mut self,
+        conn: Option<ConnId>,
+        id: RunId,
+        version: Version,
+        record: RunRecord,
+        txn: Txn,
+        env: &mut Env,
+    ) {
+        let key = run_key(&id);
+        let txn = txn
+            .when(key.clone(), version)
+            .then(Change::write(key, &record));
         self.next += 1;
-        env.store.txn(env.out, Tag::RunCancel(self.next), &txn);
-        self.cancelling.insert(self.next, (conn, id, record));
+        env.store.txn(env.out, Tag::RunWrite(self.next), &txn);
+        self.writing.insert(self.next, (conn, id, record));
     }
 
-    /// The answer to a cancellation.
-    pub fn cancelled(&mut self, id: u64, result: TxnResult, env: &mut Env) {
-        let Some((conn, run, record)) = self.cancelling.remove(&id) else {
+    /// The answer to such a write; whatever one of the run itself leaves open, the feed tells, and it
+    /// is decided anew.
+    pub fn written(&mut self, id: u64, result: TxnResult, env: &mut Env) {
+        let Some((conn, run, record)) = self.writing.remove(&id) else {
             return;
         };
-        match result {
+        let response = match result {
             TxnResult::Done(revision) => {
                 let value = serde_json::to_value(&record).unwrap_or_default();
                 env.mirror.apply(&run_key(&run), Some(&value), revision);
-                tracing::info!(run = %run, "a run is cancelled");
-                let body = brief(&run, &record).to_string();
-                env.out.respond(conn, Response::new(200, body.into_bytes()));
+                if conn.is_some() {
+                    tracing::info!(run = %run, "a run is cancelled");
+                } else if record.state != RunState::Open {
+                    tracing::info!(run = %run, state = word(record.state, false), "a run has ended");
+                }
+                Response::json(200, &brief(&run, &record))
             }
-            _ => env
-                .out
-                .respond(conn, Response::later(503, "could not be settled yet", 1)),
+            _ => Response::later(503, "could not be settled yet", 1),
+        };
+        if let Some(conn) = conn {
+            env.out.respond(conn, response);
         }
     }
 
@@ -349,7 +381,8 @@
             return;
         };
         self.picture(&id, &v.value, env);
-        let busy = self.writing.values().any(|(other, _)| *other == id);
+        let mut own_writes = self.writing.values().filter(|(conn, ..)| conn.is_none());
+        let busy = own_writes.any(|(_, other, _)| *other == id);
         let Some(live) = self.live.get_mut(&id).filter(|_| !busy) else {
             return;
         };
@@ -423,13 +456,8 @@
         if !env.store.may(env.now(), Class::Ends, 1) {
             return;
         }
-        let txn = Txn::default()
-            .when(part_key(part), Version(token.0))
-            .when(run_key(id), version)
-            .then(Change::write(run_key(id), &value));
-        self.next += 1;
-        env.store.txn(env.out, Tag::RunWrite(self.next), &txn);
-        self.writing.insert(self.next, (id.clone(), record));
+        let txn = Txn::default().when(part_key(part), Version(token.0));
+        self.write_run(None, id.clone(), version, record, txn, env);
     }
 
     /// The answer about a job of an earlier run; the mirror has it by now, if there is one.
@@ -441,18 +469,4 @@
             }
         }
     }
-
-    /// The answer to such a write; whatever it leaves open, the feed tells, and it is decided anew.
-    pub fn written(&mut self, id: u64, result: TxnResult, env: &mut Env) {
-        let Some((run, record)) = self.writing.remove(&id) else {
-            return;
-        };
-        if let TxnResult::Done(revision) = result {
-            if record.state != RunState::Open {
-                tracing::info!(run = %run, state = word(record.state, false), "a run has ended");
-            }
-            let value = serde_json::to_value(&record).unwrap_or_default();
-            env.mirror.apply(&run_key(&run), Some(&value), revision);
-        }
-    }
 }
--- a/src/coordination/runs/timing.rs
+++ b/src/coordination/runs/timing.rs
@@ -70,15 +70,13 @@
         {
             return Some(());
         }
-        let mut text = String::new();
-        for piece in 0..record.pieces {
+        let asked = packing::unpack_pieces(record.pieces, |piece| {
             let key = (name.to_string(), record.hash.clone(), piece);
-            text.push_str(env.mirror.definitions.get(&key)?);
-        }
-        let asked = packing::unpack(&text).ok()?;
-        let zone = asked.graph.time_zone.as_deref().unwrap_or("UTC");
-        let timetable = asked.graph.schedule.as_ref();
-        let timetable = timetable.and_then(|s| timetable_of(s, zone));
+            env.mirror.definitions.get(&key).map(|text| text.as_str())
+        });
+        let asked = asked?.ok()?;
+        let schedule = asked.graph.schedule.as_ref();
+        let timetable = schedule.and_then(|s| timetable(s, asked.graph.zone()).ok());
         let defined = Defined {
             hash: record.hash.clone(),
             asked,
@@ -89,10 +87,6 @@
     }
 }
 
-fn timetable_of(schedule: &snowshelf_dag::graph::Schedule, zone: &str) -> Option<Timetable> {
-    timetable(schedule, zone).ok()
-}
-
 impl Runs {
     /// Keeps a graph, in place of what was kept under its name.
     pub(super) fn define(
@@ -127,19 +121,13 @@
             missed: before.map_or(0, |v| v.value.missed),
             why: None,
         };
-        let keyed = pieces.into_iter().enumerate();
+        let version = before.map(|v| v.version).unwrap_or_default();
+        let keyed = |i| definition_key(name, &record.hash, i);
+        let begin = Beginning::new(graph_key(name), version, &record, pieces, keyed, env);
         self.beginning.push_back(Beginning {
             conn: Some(conn),
-            key: graph_key(name),
-            version: before.map(|v| v.version).unwrap_or_default(),
             body: view(name, &record),
-            pieces: keyed
-                .map(|(i, p)| (definition_key(name, &record.hash, i as u32), p))
-                .collect(),
-            record: serde_json::to_value(&record).unwrap_or_default(),
-            written: 0,
-            underway: 0,
-            since: env.now(),
+            ..begin
         });
     }
 
