The client asks in one place, and reads a file once to submit it

Need: how a command asks and tells stood in the calendar's module and was borrowed by the graphs'; two loops gathered pages; a submission read, checked and made its graph twice; the commands were listed in main and again in their tests.

The change: asking.rs with Asking's client, send and all; Told::done and Told::failed; Expand::planned gives what is asked for and its plan; Commands, flattened into the command line. Names, options, output and exit codes stay.

--- a/crates/client/src/calendar.rs
+++ b/crates/client/src/calendar.rs
@@ -1,27 +1,13 @@
 //! `snowshelf reservations` and `snowshelf windows`.
 
-use crate::http::{Answer, Client, Method, Unanswered};
+use crate::asking::Asking;
+use crate::http::Method;
 use crate::table;
 use crate::{End, Told};
 use clap::{Args, Subcommand};
 use jiff::{SignedDuration, Timestamp, ZonedDateTime};
 use serde_json::{Map, Value, json};
 use std::path::PathBuf;
-use std::time::Duration;
-
-/// Where and how a command asks.
-#[derive(Args, Clone, Debug)]
-pub struct Asking {
-    /// A controller as HOST:PORT; several are tried in turn.
-    #[arg(long, value_name = "ADDR", required = true, value_delimiter = ',')]
-    pub server: Vec<String>,
-    /// Prints the answer as JSON.
-    #[arg(long)]
-    pub json: bool,
-    /// How long to go on asking, in seconds, where no controller can decide yet.
-    #[arg(long, value_name = "SECONDS", default_value_t = 30)]
-    pub wait: u64,
-}
 
 /// What is to be had of an entry, and when.
 #[derive(Args, Clone, Debug)]
@@ -227,107 +213,20 @@
     ("STATE", "state"),
 ];
 
-fn wrong(why: String) -> Told {
-    Told {
-        out: String::new(),
-        err: why,
-        end: End::Wrong,
-    }
-}
-
-pub(crate) fn client(asking: &Asking) -> Client {
-    Client::new(&asking.server, Duration::from_secs(asking.wait))
-}
-
-fn unanswered(why: Unanswered) -> Told {
-    Told {
-        out: String::new(),
-        err: why.to_string(),
-        end: End::Unreached,
-    }
-}
-
-/// A refusal as a person reads it, with all that is in the way.
-fn refusal(answer: &Answer) -> String {
-    let mut text = table::plain(&answer.body["error"]);
-    for clash in answer.body["clashes"].as_array().into_iter().flatten() {
-        let of = |field: &str| table::plain(&clash[field]);
-        let (kind, name) = (of("kind"), of("name"));
-        text += &format!(
-            "\n  {kind} {name} from {} until {}",
-            of("from"),
-            of("until")
-        );
-    }
-    if let Some(more) = answer.body["more_clashes"].as_u64() {
-        text += &format!("\n  and {more} more");
-    }
-    if let Some(at) = answer.body["fits_from"].as_str() {
-        text += &format!("\n  it would fit from {at}");
-    }
-    text
-}
-
-pub(crate) fn answered(asking: &Asking, answer: Result<Answer, Unanswered>) -> Told {
-    let answer = match answer {
-        Ok(answer) => answer,
-        Err(why) => return unanswered(why),
+fn list(asking: &Asking, path: &str, columns: &[(&str, &str)]) -> Told {
+    let page = |items: &[Value]| {
+        let last = items.last().map(|i| table::plain(&i["name"]));
+        let after = last.map(|name| format!("&after={name}"));
+        format!("{path}?limit={PAGE}{}", after.unwrap_or_default())
     };
-    let end = match answer.status {
-        200 | 201 => End::Done,
-        404 => End::Missing,
-        409 | 422 => End::Refused,
-        _ => End::Wrong,
+    let (items, _) = match asking.all("items", page) {
+        Ok(found) => found,
+        Err(told) => return told,
     };
-    if asking.json {
-        return Told {
-            out: format!("{:#}", answer.body),
-            err: String::new(),
-            end,
-        };
-    }
-    match end {
-        End::Done => Told {
-            out: table::fields(&answer.body),
-            err: String::new(),
-            end,
-        },
-        _ => Told {
-            out: String::new(),
-            err: refusal(&answer),
-            end,
-        },
-    }
-}
-
-fn list(asking: &Asking, path: &str, columns: &[(&str, &str)]) -> Told {
-    let client = client(asking);
-    let mut items: Vec<Value> = Vec::new();
-    loop {
-        let after = items
-            .last()
-            .map(|i| format!("&after={}", table::plain(&i["name"])));
-        let page = format!("{path}?limit={PAGE}{}", after.unwrap_or_default());
-        let answer = match client.ask(Method::Get, &page, None) {
-            Ok(answer) if answer.status == 200 => answer,
-            other => return answered(asking, other),
-        };
-        let found = answer.body["items"].as_array().cloned().unwrap_or_default();
-        let more = answer.body["more"] == json!(true) && !found.is_empty();
-        items.extend(found);
-        if !more {
-            break;
-        }
-    }
-    let out = match asking.json {
+    Told::done(match asking.json {
         true => format!("{:#}", json!({ "items": items })),
         false => table::rows(columns, &items),
-    };
-    Told {
-        out,
-        err: String::new(),
-        end: End::Done,
-    }
+    })
 }
 
 fn named(n: &Named, path: &str, cancel: bool) -> Told {
@@ -335,13 +234,13 @@
         true => (Method::Post, format!("{path}/{}/cancel", n.name)),
         false => (Method::Get, format!("{path}/{}", n.name)),
     };
-    answered(&n.asking, client(&n.asking).ask(method, &path, None))
+    n.asking.send(method, &path, None)
 }
 
 fn send(asking: &Asking, method: Method, path: &str, body: Result<Value, String>) -> Told {
     match body {
-        Ok(body) => answered(asking, client(asking).ask(method, path, Some(&body))),
-        Err(why) => wrong(why),
+        Ok(body) => asking.send(method, path, Some(&body)),
+        Err(why) => Told::failed(End::Wrong, why),
     }
 }
 
--- a/crates/client/src/graph.rs
+++ b/crates/client/src/graph.rs
@@ -1,6 +1,6 @@
 //! `snowshelf graph`: files of graphs, read here, since reading them is no controller's work.
 
-use crate::calendar::{Asking, answered, client};
+use crate::asking::Asking;
 use crate::http::Method;
 use crate::{End, Told, table};
 use clap::{Args, Subcommand};
@@ -216,14 +216,12 @@
         })
     }
 
-    fn plan(&self) -> Result<Plan, Vec<Problem>> {
+    /// What is asked for, and the plan that it comes to.
+    fn planned(&self) -> Result<(Asked, Plan), Vec<Problem>> {
         let asked = self.asked()?;
-        expand(
-            &asked.graph,
-            &asked.mapping,
-            &asked.facts(),
-            &self.file.shown(),
-        )
+        let file = self.file.shown();
+        let plan = expand(&asked.graph, &asked.mapping, &asked.facts(), &file)?;
+        Ok((asked, plan))
     }
 }
 
@@ -231,9 +229,8 @@
     /// Begins a run, or keeps the graph.
     fn send(&self, keep: bool) -> Told {
         // Everything that is wrong is told here, with its place in the file.
-        let checked = self.expand.plan().and_then(|_| self.expand.asked());
-        let asked = match checked {
-            Ok(asked) => asked,
+        let asked = match self.expand.planned() {
+            Ok((asked, _)) => asked,
             Err(problems) => return told(Err(problems)),
         };
         let path = format!("/api/graphs/{}", asked.graph.name);
@@ -242,16 +239,14 @@
             false => (Method::Post, format!("{path}/runs")),
         };
         let body = json!({"run": asked.run, "packed": packing::pack(&asked)});
-        let answer = client(&self.asking).ask(method, &path, Some(&body));
-        answered(&self.asking, answer)
+        self.asking.send(method, &path, Some(&body))
     }
 }
 
 impl Kept {
     fn send(&self, method: Method, what: &str) -> Told {
         let path = format!("/api/graphs/{}{what}", self.graph);
-        let answer = client(&self.asking).ask(method, &path, None);
-        answered(&self.asking, answer)
+        self.asking.send(method, &path, None)
     }
 }
 
@@ -264,25 +259,18 @@
     }
 
     fn show(&self) -> Told {
-        let client = client(&self.asking);
-        let mut steps: Vec<Value> = Vec::new();
-        let body = loop {
-            let path = format!("{}?after={}&limit={PAGE}", self.path(), steps.len());
-            let answer = match client.ask(Method::Get, &path, None) {
-                Ok(answer) if answer.status == 200 => answer,
-                other => return answered(&self.asking, other),
-            };
-            let found = answer.body["steps"].as_array().cloned().unwrap_or_default();
-            let more = answer.body["more"] == json!(true) && !found.is_empty();
-            steps.extend(found);
-            if !more {
-                break answer.body;
-            }
+        let page = |steps: &[Value]| format!("{}?after={}&limit={PAGE}", self.path(), steps.len());
+        let (steps, mut body) = match self.asking.all("steps", page) {
+            Ok(found) => found,
+            Err(told) => return told,
         };
-        let mut whole = body.clone();
-        whole["steps"] = json!(steps);
-        let out = match self.asking.json {
-            true => format!("{whole:#}"),
+        Told::done(match self.asking.json {
+            true => {
+                if let Some(whole) = body.as_object_mut() {
+                    whole.insert("steps".to_string(), json!(steps));
+                }
+                format!("{body:#}")
+            }
             false => {
                 let text = |field: &str| table::plain(&body[field]);
                 let head = format!(
@@ -305,41 +293,22 @@
                     )
                 )
             }
-        };
-        Told {
-            out,
-            err: String::new(),
-            end: End::Done,
-        }
+        })
     }
 }
 
 fn told(result: Result<String, Vec<Problem>>) -> Told {
     match result {
-        Ok(out) => Told {
-            out,
-            err: String::new(),
-            end: End::Done,
-        },
+        Ok(out) => Told::done(out),
         Err(problems) => {
             let lines: Vec<String> = problems.iter().map(|p| p.to_string()).collect();
-            Told {
-                out: String::new(),
-                err: format!(
-                    "{} cannot be taken:\n{}",
-                    files(&problems),
-                    lines.join("\n")
-                ),
-                end: End::Wrong,
-            }
+            let file = problems.first().map_or("", |p| &p.file);
+            let why = format!("{file} cannot be taken:\n{}", lines.join("\n"));
+            Told::failed(End::Wrong, why)
         }
     }
 }
 
-fn files(problems: &[Problem]) -> String {
-    problems.first().map(|p| p.file.clone()).unwrap_or_default()
-}
-
 impl Graphs {
     pub fn run(&self) -> Told {
         match self {
@@ -354,15 +323,15 @@
                     show::tree(&graph)
                 }
             })),
-            Graphs::Expand(command) => told(command.plan().map(|plan| {
+            Graphs::Expand(command) => told(command.planned().map(|(_, plan)| {
                 let lines: Vec<String> = plan.lines().map(|line| line.to_string()).collect();
                 lines.join("\n")
             })),
             Graphs::Submit(command) => command.send(false),
             Graphs::Rerun(again) => {
-                let (path, asking) = (format!("{}/rerun", again.run.path()), &again.run.asking);
+                let path = format!("{}/rerun", again.run.path());
                 let body = json!({"run": again.next});
-                answered(asking, client(asking).ask(Method::Post, &path, Some(&body)))
+                again.run.asking.send(Method::Post, &path, Some(&body))
             }
             Graphs::Keep(command) => command.send(true),
             Graphs::Status(kept) => kept.send(Method::Get, ""),
@@ -371,10 +340,7 @@
             Graphs::Show(run) => run.show(),
             Graphs::Cancel(run) => {
                 let path = format!("{}/cancel", run.path());
-                answered(
-                    &run.asking,
-                    client(&run.asking).ask(Method::Post, &path, None),
-                )
+                run.asking.send(Method::Post, &path, None)
             }
             Graphs::Convert(file) => told(file.read().map(|graph| native::write(&graph))),
         }
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -1,12 +1,40 @@
 //! The client side: requests to the controllers, and the commands that send them.
 
+pub mod asking;
 pub mod calendar;
 pub mod graph;
 pub mod http;
 pub mod table;
 
+use calendar::{Reservations, Windows};
+use clap::Subcommand;
+use graph::Graphs;
 use std::process::ExitCode;
 
+/// The commands that ask controllers, or need none.
+#[derive(Subcommand, Clone, Debug)]
+pub enum Commands {
+    /// Capacity reserved ahead: lists, makes, changes and cancels it.
+    #[command(subcommand)]
+    Reservations(Reservations),
+    /// Maintenance windows: lists, declares, changes and cancels them.
+    #[command(subcommand)]
+    Windows(Windows),
+    /// Graphs of steps, as other tools write them: checked, shown, expanded.
+    #[command(subcommand)]
+    Graph(Graphs),
+}
+
+impl Commands {
+    pub fn run(&self) -> Told {
+        match self {
+            Commands::Reservations(command) => command.run(),
+            Commands::Windows(command) => command.run(),
+            Commands::Graph(command) => command.run(),
+        }
+    }
+}
+
 /// How a command ended, as its exit code says.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum End {
@@ -48,6 +76,22 @@
 }
 
 impl Told {
+    pub fn done(out: String) -> Told {
+        Told {
+            out,
+            err: String::new(),
+            end: End::Done,
+        }
+    }
+
+    pub fn failed(end: End, why: String) -> Told {
+        Told {
+            out: String::new(),
+            err: why,
+            end,
+        }
+    }
+
     /// Prints it, what went wrong to standard error.
     pub fn print(&self) -> End {
         if !self.out.is_empty() {
--- a/crates/client/tests/commands.rs
+++ b/crates/client/tests/commands.rs
@@ -2,29 +2,21 @@
 
 use clap::Parser;
 use serde_json::{Value, json};
-use snowshelf_client::calendar::{Reservations, Windows};
-use snowshelf_client::graph::Graphs;
-use snowshelf_client::{End, Told};
+use snowshelf_client::{Commands, End, Told};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpListener;
 use std::sync::mpsc::{Receiver, channel};
 
 #[derive(Parser)]
-enum Cli {
+struct Cli {
     #[command(subcommand)]
-    Reservations(Reservations),
-    #[command(subcommand)]
-    Windows(Windows),
-    #[command(subcommand)]
-    Graph(Graphs),
+    command: Commands,
 }
 
 fn run(words: &str) -> Told {
     let words = std::iter::once("snowshelf").chain(words.split_whitespace());
     match Cli::try_parse_from(words) {
-        Ok(Cli::Reservations(r)) => r.run(),
-        Ok(Cli::Windows(w)) => w.run(),
-        Ok(Cli::Graph(g)) => g.run(),
+        Ok(cli) => cli.command.run(),
         Err(error) => panic!("{error}"),
     }
 }
@@ -293,3 +285,13 @@
     assert!(told.out.contains("\"a\" -> \"b\""));
     std::fs::remove_dir_all(&dir).unwrap();
 }
+
+/// Guards against an end by panic where an answer is no object, as of a server that is no controller.
+#[test]
+fn an_answer_that_is_no_object_is_told() {
+    for command in ["graph show a b --json", "windows list"] {
+        let (server, _asked) = serve(vec![(200, "", json!(["other"]))]);
+        let told = run(&format!("{command} --server {server}"));
+        assert!(!told.out.is_empty(), "{command}: {told:?}");
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,8 +3,7 @@
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use snowshelf::operator::OperatorSettings;
 use snowshelf::settings::Settings;
-use snowshelf_client::calendar::{Reservations, Windows};
-use snowshelf_client::graph::Graphs;
+use snowshelf_client::Commands;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -37,15 +36,8 @@
         #[arg(value_enum, default_value_t = Described::Operator)]
         of: Described,
     },
-    /// Capacity reserved ahead: lists, makes, changes and cancels it.
-    #[command(subcommand)]
-    Reservations(Reservations),
-    /// Maintenance windows: lists, declares, changes and cancels them.
-    #[command(subcommand)]
-    Windows(Windows),
-    /// Graphs of steps, as other tools write them: checked, shown, expanded.
-    #[command(subcommand)]
-    Graph(Graphs),
+    #[command(flatten)]
+    Client(Commands),
 }
 
 /// What a schema describes.
@@ -81,9 +73,7 @@
             println!("{schema:#}");
             return ExitCode::SUCCESS;
         }
-        (Some(Command::Graph(command)), _) => return command.run().print().into(),
-        (Some(Command::Reservations(command)), _) => return command.run().print().into(),
-        (Some(Command::Windows(command)), _) => return command.run().print().into(),
+        (Some(Command::Client(command)), _) => return command.run().print().into(),
         (Some(Command::Check(files)), _) | (None, Some(files)) => files,
         (None, None) => {
             eprintln!("snowshelf: --config FILE is needed; see --help");
