Names, arguments and a team's use of a machine are each worked out once

Need: the rule for names chosen by users was written for the calendar and again for runs, an argument was taken out by two copies of one loop and empty arguments were spelled out five times, the steps inside a step's argument were searched twice, and what a team uses of a machine was summed up in two places.

The change: ids::is_word, functions::take with Given::named and Given::placed, Shard::used_by. Nothing else is taken or refused than before.

--- a/crates/calendar/src/entry.rs
+++ b/crates/calendar/src/entry.rs
@@ -6,7 +6,7 @@
 use jiff::Timestamp;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use snowshelf_model::ids::{Team, WallMs};
+use snowshelf_model::ids::{Team, WallMs, is_word};
 use snowshelf_model::records::Room;
 use std::fmt;
 use std::sync::Arc;
@@ -19,12 +19,7 @@
 impl Name {
     /// Letters, digits, `.`, `_` and `-`, a letter or digit first, 64 bytes at the most.
     pub fn parse(text: &str) -> Option<Name> {
-        let sound = (1..=64).contains(&text.len())
-            && text
-                .bytes()
-                .all(|b| b.is_ascii_alphanumeric() || b"._-".contains(&b))
-            && text.as_bytes()[0].is_ascii_alphanumeric();
-        sound.then(|| Name(text.into()))
+        is_word(text, b"._-").then(|| Name(text.into()))
     }
     pub fn as_str(&self) -> &str {
         &self.0
--- a/crates/dag-python/src/functions.rs
+++ b/crates/dag-python/src/functions.rs
@@ -15,12 +15,31 @@
 }
 
 impl Given {
+    pub fn named(names: Args) -> Given {
+        Given {
+            places: Vec::new(),
+            names,
+        }
+    }
+
+    pub fn placed(places: Vec<Value>) -> Given {
+        Given {
+            places,
+            names: Args::new(),
+        }
+    }
+
     pub fn take(&mut self, name: &str) -> Option<Value> {
-        let at = self.names.iter().position(|(n, _)| n == name)?;
-        Some(self.names.remove(at).1)
+        take(&mut self.names, name)
     }
 }
 
+/// Takes an argument out.
+pub(crate) fn take(args: &mut Args, name: &str) -> Option<Value> {
+    let at = args.iter().position(|(n, _)| n == name)?;
+    Some(args.remove(at).1)
+}
+
 impl Reader {
     /// What the decorators of a function make of it.
     pub fn role(&mut self, def: &ast::StmtFunctionDef) -> Read<Role> {
@@ -28,13 +47,7 @@
         for decorator in &def.decorator_list {
             let (called, given) = match decorator {
                 Expr::Call(call) => (self.expr(&call.func)?, self.given(call)?),
-                other => (
-                    self.expr(other)?,
-                    Given {
-                        places: Vec::new(),
-                        names: Vec::new(),
-                    },
-                ),
+                other => (self.expr(other)?, Given::named(Args::new())),
             };
             let Value::Import(path) = &called else {
                 return self.refuse(
@@ -128,13 +141,7 @@
                 if !args.iter().any(|(n, _)| n == "dag_id") {
                     args.push(("dag_id".to_string(), Value::Text(function.name.clone())));
                 }
-                let dag = self.make_dag(
-                    at,
-                    Given {
-                        places: Vec::new(),
-                        names: args,
-                    },
-                )?;
+                let dag = self.make_dag(at, Given::named(args))?;
                 let scope = self.bound(at, &function.def, given)?;
                 self.places.push(Place {
                     dag,
@@ -151,13 +158,7 @@
                     args.push(("group_id".to_string(), Value::Text(function.name.clone())));
                 }
                 let above = self.inputs(&given);
-                let group = self.make_group(
-                    at,
-                    Given {
-                        places: Vec::new(),
-                        names: args,
-                    },
-                )?;
+                let group = self.make_group(at, Given::named(args))?;
                 let Value::Group(dag, prefix) = group.clone() else {
                     return Ok(group);
                 };
--- a/crates/dag-python/src/steps.rs
+++ b/crates/dag-python/src/steps.rs
@@ -2,7 +2,7 @@
 
 use crate::building::{Read, Reader};
 use crate::calls::{IN_A_RUN, merge};
-use crate::functions::Given;
+use crate::functions::{Given, take};
 use crate::value::{Args, Partial, Value};
 use rustpython_parser::text_size::TextRange;
 use snowshelf_dag::graph::{Step, Sweep};
@@ -132,19 +132,15 @@
         own: Args,
         sweep: Option<Sweep>,
     ) -> Read<Value> {
-        let mut take = |name: &str| {
-            let i = args.iter().position(|(n, _)| n == name)?;
-            Some(args.remove(i).1)
-        };
-        let dag = match take("dag") {
+        let dag = match take(&mut args, "dag") {
             Some(Value::Dag(dag)) => Some(dag),
             _ => self.places.last().map(|p| p.dag),
         };
-        let group = match take("task_group") {
+        let group = match take(&mut args, "task_group") {
             Some(Value::Group(_, prefix)) => Some(prefix),
             _ => self.places.last().map(|p| p.prefix.clone()),
         };
-        let id = take("task_id");
+        let id = take(&mut args, "task_id");
         let Some(dag) = dag else {
             return self.refuse(
                 at,
@@ -271,34 +267,29 @@
                 );
             }
             (name, _) if IDLE_STEP.contains(&name) => {}
-            (name, value) => match value.json(0) {
-                Some(json) => {
+            (name, value) => {
+                if let Some(json) = value.json(0) {
                     step.args.insert(name.to_string(), json);
+                    return Ok(());
                 }
-                None if matches!(value, Value::List(_) | Value::Dict(_))
-                    && !self
-                        .inputs(&Given {
-                            places: vec![value.clone()],
-                            names: Vec::new(),
-                        })
-                        .is_empty() =>
-                {
-                    for steps in self.inputs(&Given {
-                        places: vec![value.clone()],
-                        names: Vec::new(),
-                    }) {
-                        // Known only in a run, and given by a step that comes before.
-                        if let Value::Steps(_, ids) = &steps {
-                            step.args
-                                .insert(name.to_string(), serde_json::json!({"from": ids}));
-                        }
+                let inputs = match value {
+                    Value::List(_) | Value::Dict(_) => {
+                        self.inputs(&Given::placed(vec![value.clone()]))
                     }
-                }
-                None => {
+                    _ => Vec::new(),
+                };
+                if inputs.is_empty() {
                     let what = format!("{name} is {}: {IN_A_RUN}", value.kind());
                     return self.refuse(at, what, "write the value down");
                 }
-            },
+                for steps in inputs {
+                    // Known only in a run, and given by a step that comes before.
+                    if let Value::Steps(_, ids) = &steps {
+                        let from = serde_json::json!({"from": ids});
+                        step.args.insert(name.to_string(), from);
+                    }
+                }
+            }
         }
         Ok(())
     }
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -141,6 +141,16 @@
     }
 }
 
+/// Whether a name chosen by users is sound: 1 to 64 letters, digits and `marks`, a letter or digit first.
+/// Keys of the state service are made of such names.
+pub fn is_word(text: &str, marks: &[u8]) -> bool {
+    (1..=64).contains(&text.len())
+        && text
+            .bytes()
+            .all(|b| b.is_ascii_alphanumeric() || marks.contains(&b))
+        && text.as_bytes()[0].is_ascii_alphanumeric()
+}
+
 /// The part that a machine belongs to: FNV-1a of its name.
 pub fn part_of(machine: &str, parts: u32) -> PartId {
     let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
--- a/crates/model/src/records/run.rs
+++ b/crates/model/src/records/run.rs
@@ -1,6 +1,6 @@
 //! What the state service keeps of a graph's run.
 
-use crate::ids::WallMs;
+use crate::ids::{WallMs, is_word};
 use crate::spans::Spans;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -13,15 +13,9 @@
     pub run: String,
 }
 
-/// Bytes of each name at the most, so that the keys of a run are no longer than keys may be.
-const MOST_BYTES: usize = 64;
-
+/// Whether a run or a graph may have this name.
 pub fn sound(name: &str) -> bool {
-    (1..=MOST_BYTES).contains(&name.len())
-        && name
-            .bytes()
-            .all(|b| b.is_ascii_alphanumeric() || b"._:+-".contains(&b))
-        && name.as_bytes()[0].is_ascii_alphanumeric()
+    is_word(name, b"._:+-")
 }
 
 impl RunId {
--- a/src/coordination/shard/keeping.rs
+++ b/src/coordination/shard/keeping.rs
@@ -10,7 +10,7 @@
 use snowshelf_calendar::calendar::Pool;
 use snowshelf_calendar::guard::Hold;
 use snowshelf_model::ids::{JobId, MachineId, PartId, Team, WallMs, part_of, seconds_to_ms};
-use snowshelf_model::records::{JobSpec, Kind};
+use snowshelf_model::records::{JobSpec, Kind, Room};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What a machine is kept for.
@@ -117,11 +117,7 @@
                     let mut room = whole;
                     if open {
                         room.sub(m.used);
-                        let theirs = self.jobs_on(name).filter_map(|(_, j)| {
-                            let spec = j.spec().filter(|s| s.team == hold.team)?;
-                            let tasks = j.view.started.get(name)?.len();
-                            Some(spec.room.times(f64::from(tasks)))
-                        });
+                        let theirs = self.used_by(&hold.team, name);
                         theirs.for_each(|r| room.add(r));
                     }
                     Some((Amount::of(room), name))
@@ -147,6 +143,15 @@
         self.kept = kept;
     }
 
+    /// What a team's jobs take of a machine, job by job.
+    fn used_by(&self, team: &Team, name: &MachineId) -> impl Iterator<Item = Room> {
+        self.jobs_on(name).filter_map(move |(_, j)| {
+            let spec = j.spec().filter(|s| s.team == *team)?;
+            let tasks = j.view.started.get(name)?.len();
+            Some(spec.room.times(f64::from(tasks)))
+        })
+    }
+
     /// What of a reservation this part keeps: parts take it up one after the other, each as much as it
     /// has, beginning with one that the reservation's name tells, so that small ones are not
     /// splintered and many are spread.
@@ -213,11 +218,7 @@
             if let Some(k) = self.kept.get(&room.name)
                 && k.from.0 <= env.out.wall_ms
             {
-                let theirs = self.jobs_on(&room.name).filter_map(|(_, j)| {
-                    let spec = j.spec().filter(|s| s.team == k.team)?;
-                    let tasks = j.view.started.get(&room.name)?.len();
-                    Some(spec.room.cpus * f64::from(tasks))
-                });
+                let theirs = self.used_by(&k.team, &room.name).map(|r| r.cpus);
                 let entry = kept.entry(k.team.clone()).or_default();
                 entry.free += room.free.cpus.max(0.0);
                 entry.promised += (room.whole.cpus - theirs.sum::<f64>()).max(0.0);
