A negative weight in the serialized form does not set a step's tasks any more

Cause: a leftover in the reading of the serialized form gave every step with a negative priority weight one task, over what the mapping says; it was found by reading the change once more. Ruled out: that anything relies on it, as one task is what a job has where nothing is said.

The change: it is gone. Measured: the new test failed before ({"tasks": 1.0} instead of nothing) and passes now, with all others of the package.

--- a/crates/dag/src/serialized.rs
+++ b/crates/dag/src/serialized.rs
@@ -1,6 +1,6 @@
 //! The serialized form in which Airflow keeps its graphs: JSON of versions 1 to 3, as its schema tells.
 
-use crate::graph::{Amount, Graph, Kind, Param, Schedule, Step, Sweep, Trigger};
+use crate::graph::{Graph, Kind, Param, Schedule, Step, Sweep, Trigger};
 use crate::problem::Problems;
 use serde_json::{Map, Value};
 use std::collections::{BTreeMap, HashMap};
@@ -333,9 +333,6 @@
     if find(&["_is_mapped"]).and_then(Value::as_bool) == Some(true) {
         step.sweep = mapped(task, &step.id, problems);
     }
-    if step.job.tasks.is_none() && step.priority_weight.is_some_and(|w| w < 0) {
-        step.job.tasks = Some(Amount::Number(1.0));
-    }
     Some(step)
 }
 
--- a/crates/dag/tests/graphs.rs
+++ b/crates/dag/tests/graphs.rs
@@ -441,6 +441,19 @@
     );
 }
 
+/// Guards against a weight that decides on something else: a negative one set the number of a step's tasks
+/// over what the mapping says.
+#[test]
+fn a_weight_says_nothing_of_a_steps_job() {
+    for weight in [-5, 0, 5] {
+        let mut value = serialized_graph();
+        value["dag"]["tasks"][0]["__var"]["priority_weight"] = json!(weight);
+        let g = serialized::read(&value, &mut Problems::of("d.json")).unwrap();
+        assert_eq!(g.steps[0].priority_weight, Some(weight));
+        assert_eq!(serde_json::to_value(&g.steps[0].job).unwrap(), json!({}));
+    }
+}
+
 #[test]
 fn what_of_the_serialized_form_cannot_be_kept_is_refused() {
     let with = |change: &dyn Fn(&mut Value)| {
