Tests share their sound settings and the check that all went well

The change: tests/sound.toml and World::assert_sound. Every assertion is there as before; where two ways of telling of a failure differed, one remains.

--- a/tests/reading.rs
+++ b/tests/reading.rs
@@ -36,30 +36,7 @@
 const A_PAGE: u64 = 200;
 const KEPT: u64 = 10_000;
 
-const SETTINGS: &str = r#"
-member = "a-0"
-serve_on = "10.0.0.1:8080"
-peer_listen = "10.0.0.1:8081"
-[outside]
-cloud = "10.2.0.2:1"
-state = "10.2.0.1:2"
-[deployment]
-nodes = 1
-[deployment.workers]
-report_s = 2.0
-lease_s = 10.0
-cancel_s = 30.0
-[deployment.state]
-rps = 200.0
-write_rps = 50.0
-value_kb = 16.0
-txn_ops = 12
-[deployment.cloud]
-rps = 2.0
-[deployment.limits]
-mem_mb = 64.0
-sockets = 1000
-"#;
+const SETTINGS: &str = include_str!("sound.toml");
 
 /// A state service with many ended jobs, one open job that is deleted during the second reading, and
 /// changes that go on.
@@ -181,7 +158,7 @@
 /// be followed from where it began, and so begins again for ever.
 #[test]
 fn a_long_history_is_read_once_and_in_little_memory() {
-    let settings = Settings::parse(SETTINGS).unwrap();
+    let settings = Settings::parse(&SETTINGS.replace("rps = 100.0", "rps = 200.0")).unwrap();
     let mut play = Play {
         controller: Controller::new(settings, OperatorSettings::default(), Millis(1)),
         history: History {
--- a/tests/reserving.rs
+++ b/tests/reserving.rs
@@ -52,14 +52,8 @@
         world.add_window(5_000, "a", 25_000, 45_000);
         world.add_window(6_000, "b", 50_000, 60_000);
         world.run(200_000);
-        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        world.assert_sound(seed);
         assert!(world.bookers.iter().all(|b| b.accepted()), "seed {seed}");
-        assert_eq!(
-            world.settled(),
-            world.users.len(),
-            "seed {seed}: {:#?}",
-            world.unsettled()
-        );
     }
 }
 
@@ -88,13 +82,7 @@
         // dead one's part is taken only after it, and its workers' tasks end with their lease.
         world.empty_after = Some(20_000);
         world.run(600_000);
-        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
-        assert_eq!(
-            world.settled(),
-            world.users.len(),
-            "seed {seed}: {:#?}",
-            world.unsettled()
-        );
+        world.assert_sound(seed);
     }
 }
 
@@ -130,14 +118,12 @@
         let mut world = world(seed, weather, Sabotage::default(), 8);
         world.draw_bookers(14);
         world.run(280_000);
-        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        world.assert_sound(seed);
         assert_eq!(world.overbooked(), Vec::<String>::new(), "seed {seed}");
         let settled = world.bookers.iter().filter(|b| b.told.is_some()).count();
         assert_eq!(settled, world.bookers.len(), "seed {seed}");
         accepted += world.bookers.iter().filter(|b| b.accepted()).count();
         refused += world.bookers.iter().filter(|b| !b.accepted()).count();
-        let all = world.settled() == world.users.len();
-        assert!(all, "seed {seed}: {:#?}", world.unsettled());
     }
     assert!(accepted > 100 && refused > 100, "{accepted} {refused}");
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -37,9 +37,7 @@
     // the earlier owner knew to be gone were commanded again) and a job that was not apart.
     for seed in 1..=120 {
         let world = play(seed, STORM, Sabotage::default(), 280_000);
-        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
-        let all = world.settled() == world.users.len();
-        assert!(all, "seed {seed}: {:#?}", world.unsettled());
+        world.assert_sound(seed);
     }
 }
 
@@ -49,9 +47,7 @@
 fn the_rules_hold_while_the_version_is_replaced() {
     for seed in 1..=60 {
         let world = play(seed, ROLL, Sabotage::default(), 280_000);
-        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
-        let all = world.settled() == world.users.len();
-        assert!(all, "seed {seed}: {:#?}", world.unsettled());
+        world.assert_sound(seed);
     }
 }
 
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -3,31 +3,7 @@
 use snowshelf::operator::OperatorSettings;
 use snowshelf::settings::Settings;
 
-const SOUND: &str = r#"
-member = "a-0"
-serve_on = "10.0.0.1:8080"
-peer_listen = "10.0.0.1:8081"
-new_field = 1
-[outside]
-cloud = "10.2.0.2:1"
-state = "10.2.0.1:2"
-[deployment]
-nodes = 1
-[deployment.workers]
-report_s = 2.0
-lease_s = 10.0
-cancel_s = 30.0
-[deployment.state]
-rps = 100.0
-write_rps = 50.0
-value_kb = 16.0
-txn_ops = 12
-[deployment.cloud]
-rps = 2.0
-[deployment.limits]
-mem_mb = 64.0
-sockets = 1000
-"#;
+const SOUND: &str = include_str!("sound.toml");
 
 #[test]
 fn sound_settings_are_taken_and_unknown_fields_ignored() {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1063,6 +1063,15 @@
 }
 
 impl World {
+    /// Fails unless every rule has held and every user was told of an end.
+    #[track_caller]
+    #[allow(dead_code)] // Used by some of the tests that share this world.
+    pub fn assert_sound(&self, seed: u64) {
+        assert_eq!(self.broken, Vec::<String>::new(), "seed {seed}");
+        let all = self.settled() == self.users.len();
+        assert!(all, "seed {seed}: {:#?}", self.unsettled());
+    }
+
     /// What is known of the jobs that have not ended, for a failing test's message.
     pub fn unsettled(&self) -> Vec<String> {
         let mut lines: Vec<String> = self
