What reports and records prove together is one decision table

Need: what a report proves was spread over the taking of reports and the making of commands, and could not be shown whole. Change: crates/recovery::squaring, one pure function of what is stored, what is reported, the evidence that comes with it and what is to become of the machine; the owners' reports use it for what they write and for what they order. Ruled out: a table as data, which could not be checked by the compiler for holes.

--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -2,3 +2,5 @@
 //! first, and what a worker's report proves about what is stored. Pure: no clock, no socket.
 
 pub mod reading;
+pub mod silence;
+pub mod squaring;
--- /dev/null
+++ b/crates/recovery/src/silence.rs
@@ -0,0 +1,61 @@
+//! What the silence of many machines at once means: a controller that hears nobody, a zone that is cut
+//! off, or machines that are gone. Silence alone proves nothing, so this only decides when to ask others and
+//! when to give up waiting.
+
+use snowshelf_model::ids::Millis;
+
+/// Fewer machines than this say nothing about the rest.
+const ENOUGH: u32 = 4;
+/// Share of a part's machines that must have turned up elsewhere before the part goes there.
+const HEARD_ELSEWHERE: f64 = 0.25;
+/// Share of a zone's machines that must be silent for the zone to be taken for cut off.
+const ZONE_SILENT: f64 = 0.6;
+
+/// What an owner hears of its machines.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct Hearing {
+    /// Machines that have reported to this owner.
+    pub known: u32,
+    /// When the last report of any of them came.
+    pub last: Millis,
+}
+
+/// Whether an owner hears none of its machines, though each should have reported by now: a
+/// report comes every `report_ms`, a quarter more at the most.
+pub fn deaf(hearing: Hearing, now: Millis, report_ms: u64) -> bool {
+    hearing.known >= ENOUGH && now.since(hearing.last) > report_ms + report_ms / 4 + MARGIN_MS
+}
+
+/// For connections to be made and answers to be slow.
+const MARGIN_MS: u64 = 500;
+
+/// Whether an owner that hears nobody should hand its part over: others are reached by its machines,
+/// which `elsewhere` counts. Where nobody hears them the machines are silent, and stay with their owner.
+pub fn hand_over(hearing: Hearing, elsewhere: u32, now: Millis, report_ms: u64) -> bool {
+    deaf(hearing, now, report_ms)
+        && f64::from(elsewhere) >= HEARD_ELSEWHERE * f64::from(hearing.known)
+}
+
+/// How many of a zone's machines there are in a part, and how many of them are silent.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct ZoneSilence {
+    pub known: u32,
+    pub silent: u32,
+}
+
+impl ZoneSilence {
+    /// Whether the zone is more likely cut off than its machines are gone one by one.
+    pub fn cut(self) -> bool {
+        self.silent >= ENOUGH && f64::from(self.silent) >= ZONE_SILENT * f64::from(self.known)
+    }
+}
+
+/// For how long a machine may be silent before it is returned. Whether a cut ends soon cannot be known:
+/// waiting as long again as a machine in its place would take to be up costs twice the best at
+/// the most, whichever way it goes.
+pub fn patience_ms(ordinary_ms: u64, cut: bool, replaced_in_ms: u64) -> u64 {
+    match cut {
+        true => ordinary_ms.saturating_add(replaced_in_ms),
+        false => ordinary_ms,
+    }
+}
--- a/src/coordination/shard/machine.rs
+++ b/src/coordination/shard/machine.rs
@@ -3,9 +3,10 @@
 use crate::coordination::images::Images;
 use crate::coordination::placement::Image;
 use snowshelf_calendar::calendar::Pool;
-use snowshelf_model::ids::{Attempt, ConnId, JobId, Millis, Seq, Session};
+use snowshelf_model::ids::{Attempt, ConnId, JobId, Millis, Seq, Session, seconds_to_ms};
 use snowshelf_model::protocol::worker::{TaskRef, TaskState, Why};
 use snowshelf_model::records::{JobSpec, Room};
+use snowshelf_recovery::squaring::Leaving;
 
 #[derive(Clone)]
 pub(super) struct OnMachine {
@@ -85,6 +86,21 @@
             && now.since(self.heard) <= fresh_ms
     }
 
+    /// What is to become of it, for a task that needs so long to save.
+    pub fn leaving(&self, now: Millis, save_s: f64, report_ms: u64) -> Leaving {
+        if let Some(until) = self.notice_until {
+            let left = until.0.saturating_sub(now.0);
+            let late = left <= seconds_to_ms(save_s) + 2 * report_ms;
+            Leaving::Noticed { late }
+        } else if self.draining {
+            Leaving::Drained
+        } else if self.returning {
+            Leaving::Returning
+        } else {
+            Leaving::Stays
+        }
+    }
+
     /// Whether its newest report lists a task that has not ended.
     pub fn lists_tasks(&self) -> bool {
         self.listed.iter().any(|t| t.state != TaskState::Exited)
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -21,6 +21,7 @@
 use snowshelf_model::ids::{Attempt, JobId, MachineId, Millis, PartId, TaskNo, Team, Token};
 use snowshelf_model::protocol::worker::{Report, TaskState};
 use snowshelf_model::records::{Alloc, Grant, QuotaRecord, Step, StepKind};
+use snowshelf_recovery::squaring::Squared;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use writing::Flight;
@@ -48,6 +49,8 @@
     pub elsewhere: Rc<BTreeMap<(PartId, Pool), (u32, u32)>>,
     /// Room kept for teams, as of the last pass.
     pub kept_room: BTreeMap<Team, keeping::KeptRoom>,
+    /// What reports have proved, since the last line on it.
+    squared: Squared,
     /// The newest report of each machine from before the picture was built, and when it came.
     early: BTreeMap<MachineId, (Millis, Report)>,
     gone: HashSet<MachineId>,
@@ -98,6 +101,7 @@
             overrun: BTreeMap::new(),
             elsewhere: Rc::default(),
             kept_room: BTreeMap::new(),
+            squared: Squared::default(),
             early: BTreeMap::new(),
             gone: HashSet::new(),
             gone_order: VecDeque::new(),
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -1,13 +1,16 @@
 //! Workers' reports: what they prove, and the commands that their answers carry.
 
+use super::Shard;
 use super::machine::{Held, Machine, OnMachine};
-use super::{Shard, requeue};
 use crate::coordination::env::Env;
 use crate::outbox::Response;
 use snowshelf_calendar::calendar::Pool;
 use snowshelf_model::ids::{Attempt, ConnId, JobId, MachineId, Millis, TaskNo, seconds_to_ms};
-use snowshelf_model::protocol::worker::{Answer, Command, Report, TaskRef, TaskState, Why};
-use snowshelf_model::records::{Kind, Step, StepKind};
+use snowshelf_model::protocol::worker::{Answer, Command, Report, TaskRef, TaskState};
+use snowshelf_model::records::{Kind, Step};
+use snowshelf_recovery::squaring::{
+    Evidence, Leaving, Nature, Order, Reported, Shown, Stored, Tells, square,
+};
 use std::collections::BTreeSet;
 
 /// Most commands in one answer: keeps it under the 64 KiB that a worker accepts.
@@ -136,16 +139,14 @@
             })
             .collect();
         machine.stale = true;
-        let inherited = shown && std::mem::take(&mut machine.inherited);
-        if (new_session && shown) || inherited {
-            // A higher session proves that everything of the earlier one is gone, and the token
-            // that no earlier owner can start it in the new one. What an earlier owner started and
-            // is not there is not commanded again: that owner may have known it to be gone and used
-            // its share of the team's limit for another start, the end not yet durable.
-            self.requeue_unlisted(&name, now);
-        }
+        let evidence = Evidence {
+            shown: if shown { Shown::Equal } else { Shown::Behind },
+            late: false,
+            new_session,
+            inherited: shown && std::mem::take(&mut machine.inherited),
+        };
         if shown {
-            self.settle(&name, now, env);
+            self.settle(&name, evidence, now, env);
         }
         true
     }
@@ -176,97 +177,119 @@
         env.out.respond(conn, Response::new(200, body));
     }
 
+    /// What the records and the picture say of an attempt on a machine.
+    fn stored(&self, name: &MachineId, job: &JobId, task: TaskNo, attempt: Attempt) -> Stored {
+        let Some(j) = self.jobs.get(job) else {
+            return Stored::NotOurs;
+        };
+        let here = j.view.started_on(name, task);
+        let viewed = here == Some(attempt);
+        let durable = j.durable.started_on(name, task) == Some(attempt);
+        match (viewed, durable, j.cancelled()) {
+            (true, false, _) => Stored::Starting,
+            (true, true, false) => Stored::Here,
+            (true, true, true) => Stored::Cancelled,
+            (false, true, false) => Stored::Ending,
+            (false, true, true) => Stored::CancelledEnding,
+            (false, false, _) if here.is_some() => Stored::OtherAttempt,
+            (false, false, _) if j.view.waiting.get(task).is_some() => Stored::Waiting,
+            (false, false, _) if j.view.finished.get(task).is_some() => Stored::Finished,
+            // On another machine, or in another part's share.
+            (false, false, _) => Stored::Elsewhere,
+        }
+    }
+
+    fn nature(&self, job: &JobId) -> Nature {
+        let spec = self.jobs.get(job).and_then(|j| j.spec());
+        spec.map_or(Nature::default(), |s| Nature {
+            standing: s.kind == Kind::Standing,
+            saves: s.checkpoint_s > 0.0,
+        })
+    }
+
+    fn save_s(&self, job: &JobId) -> f64 {
+        let spec = self.jobs.get(job).and_then(|j| j.spec());
+        spec.map_or(0.0, |s| s.save_s)
+    }
+
     /// Draws what the newest report proves. The machine has shown this owner's token.
-    fn settle(&mut self, name: &MachineId, now: Millis, env: &Env) {
+    fn settle(&mut self, name: &MachineId, evidence: Evidence, now: Millis, env: &Env) {
         let Some(machine) = self.machines.get(name) else {
             return;
         };
+        let leaving = machine.leaving(now, 0.0, env.cfg.settings.report_ms());
         let listed = machine.listed.clone();
-        self.note_images(name, &listed, env);
+        let mut proofs = Vec::new();
         for item in &listed {
-            let job = &item.task.job;
-            let ours = self
-                .jobs
-                .get(job)
-                .and_then(|j| j.view.started_on(name, item.task.task))
-                == Some(item.attempt);
-            if !ours || item.state != TaskState::Exited {
-                continue;
-            }
-            let step = |what| Step {
-                task: item.task.task,
-                attempt: item.attempt,
-                machine: name.clone(),
+            let (job, task, attempt) = (&item.task.job, item.task.task, item.attempt);
+            let stored = self.stored(name, job, task, attempt);
+            let reported = Reported::Listed(item.state, item.why);
+            let cell = square(stored, reported, evidence, leaving, self.nature(job));
+            proofs.push((cell, job.clone(), task, attempt));
+        }
+        for (job, task, attempt) in self.unlisted(name) {
+            let stored = self.stored(name, &job, task, attempt);
+            let nature = self.nature(&job);
+            let cell = square(stored, Reported::Absent, evidence, leaving, nature);
+            proofs.push((cell, job, task, attempt));
+        }
+        self.note_images(name, &listed, env);
+        for (cell, job, task, attempt) in proofs {
+            self.squared.count(cell.finding);
+            let Some(what) = cell.write else { continue };
+            let machine = name.clone();
+            let step = Step {
+                task,
+                attempt,
+                machine,
                 what,
             };
-            match item.why {
-                Some(Why::Done) => {
-                    let batch = self
-                        .jobs
-                        .get(job)
-                        .and_then(|j| j.spec())
-                        .is_some_and(|s| s.kind == Kind::Batch);
-                    let what = if batch {
-                        StepKind::Finish
-                    } else {
-                        StepKind::Requeue
-                    };
-                    self.step(now, job, step(what));
-                    if let Some(m) = self.machines.get_mut(name) {
-                        m.error_streak.clear();
-                    }
-                    if let Some(j) = self.jobs.get_mut(job) {
-                        j.failures = 0;
-                    }
+            self.step(now, &job, step);
+            self.told(name, &job, task, cell.tells, now, env);
+        }
+        self.track_idle(name, now);
+    }
+
+    /// What a task's end says of its job and its machine.
+    fn told(
+        &mut self,
+        name: &MachineId,
+        job: &JobId,
+        task: TaskNo,
+        tells: Tells,
+        now: Millis,
+        env: &Env,
+    ) {
+        match tells {
+            Tells::Nothing => {}
+            Tells::Works => {
+                if let Some(m) = self.machines.get_mut(name) {
+                    m.error_streak.clear();
                 }
-                Some(Why::Error) => {
-                    self.step(now, job, step(StepKind::Requeue));
-                    self.blame(name, job, now);
-                    if let Some(j) = self.jobs.get_mut(job).filter(|j| j.spec.run) {
-                        *j.errors.entry(item.task.task).or_default() += 1;
-                        if j.spec.pause_ms > 0 {
-                            j.retry_at = j.retry_at.max(now.plus(j.spec.pause_ms));
-                        }
-                    }
+                if let Some(j) = self.jobs.get_mut(job) {
+                    j.failures = 0;
                 }
-                Some(Why::Full) | Some(Why::InUse) => {
-                    self.step(now, job, step(StepKind::Requeue));
-                    if let Some(m) = self.machines.get_mut(name) {
-                        m.full_until = now.plus(2 * env.cfg.settings.report_ms());
+            }
+            Tells::Fails => {
+                self.blame(name, job, now);
+                if let Some(j) = self.jobs.get_mut(job).filter(|j| j.spec.run) {
+                    *j.errors.entry(task).or_default() += 1;
+                    if j.spec.pause_ms > 0 {
+                        j.retry_at = j.retry_at.max(now.plus(j.spec.pause_ms));
                     }
                 }
-                Some(Why::Unknown) => {
-                    self.step(now, job, step(StepKind::Requeue));
-                    if let Some(j) = self.jobs.get_mut(job) {
-                        j.retry_at = now.plus(2_000);
-                    }
+            }
+            Tells::Full => {
+                if let Some(m) = self.machines.get_mut(name) {
+                    m.full_until = now.plus(2 * env.cfg.settings.report_ms());
                 }
-                Some(Why::Stopped) | None => {
-                    self.step(now, job, step(StepKind::Requeue));
+            }
+            Tells::NoDescription => {
+                if let Some(j) = self.jobs.get_mut(job) {
+                    j.retry_at = now.plus(2_000);
                 }
             }
         }
-        // Not listed in a report newer than any answer that could have carried the command: not
-        // there. It is commanded again below, unless the job is over or the machine is not to
-        // take it any more.
-        let unwanted = self
-            .machines
-            .get(name)
-            .is_some_and(|m| m.draining || m.returning || m.notice_until.is_some());
-        let absent: Vec<(JobId, TaskNo, Attempt)> = self
-            .unlisted(name)
-            .into_iter()
-            .filter(|(job, task, attempt)| {
-                self.jobs.get(job).is_some_and(|j| {
-                    (unwanted || j.cancelled())
-                        && j.durable.started_on(name, *task) == Some(*attempt)
-                })
-            })
-            .collect();
-        for (job, task, attempt) in absent {
-            self.step(now, &job, requeue(name, task, attempt));
-        }
-        self.track_idle(name, now);
     }
 
     /// Which images the machine has and which it fetches, by its newest report.
@@ -338,18 +361,6 @@
         found
     }
 
-    fn requeue_unlisted(&mut self, name: &MachineId, now: Millis) {
-        for (job, task, attempt) in self.unlisted(name) {
-            let durable = self
-                .jobs
-                .get(&job)
-                .is_some_and(|j| j.durable.started_on(name, task) == Some(attempt));
-            if durable {
-                self.step(now, &job, requeue(name, task, attempt));
-            }
-        }
-    }
-
     /// A task failed. A machine is to blame when different jobs fail on it, or when one fails that
     /// works elsewhere; a job that fails on several machines is held back instead.
     fn blame(&mut self, name: &MachineId, job: &JobId, now: Millis) {
@@ -386,64 +397,35 @@
         }
         let report_ms = env.cfg.settings.report_ms();
         let mut commands = Vec::new();
-        for item in &machine.listed {
-            let task = item.task.clone();
-            let attempt = item.attempt;
-            let job = self.jobs.get(&task.job);
-            let viewed = job.and_then(|j| j.view.started_on(name, task.task)) == Some(attempt);
-            let durable = job.and_then(|j| j.durable.started_on(name, task.task)) == Some(attempt);
-            if item.state == TaskState::Exited {
-                // Only when its end is durable: a repeated start would run it once more.
-                if !viewed && !durable {
-                    commands.push(Command::Reap { task, attempt });
-                }
-                continue;
-            }
-            let stray = !viewed && !durable;
-            let cancelled = job.is_some_and(|j| j.cancelled());
-            if stray || cancelled {
-                commands.push(Command::Halt {
+        let mut order = |leaving, reported, save_s, task: TaskRef, attempt| {
+            let stored = self.stored(name, &task.job, task.task, attempt);
+            let nature = self.nature(&task.job);
+            let cell = square(stored, reported, Evidence::PLAIN, leaving, nature);
+            commands.extend(cell.order.map(|order| match order {
+                Order::Run => Command::Run { task, attempt },
+                Order::Reap => Command::Reap { task, attempt },
+                Order::Kill | Order::Stop => Command::Halt {
                     task,
                     attempt,
-                    grace_s: 0.0,
-                });
-                continue;
-            }
-            if item.state == TaskState::Saving {
-                continue;
-            }
-            let spec = job.and_then(|j| j.spec());
-            let (saves, save_s) = spec.map_or((false, 0.0), |s| (s.checkpoint_s > 0.0, s.save_s));
-            if let Some(until) = machine.notice_until {
-                let left = until.0.saturating_sub(now.0);
-                let late = left <= seconds_to_ms(save_s) + 2 * report_ms;
-                if item.state == TaskState::Pulling || (saves && late) {
-                    commands.push(Command::Halt {
-                        task,
-                        attempt,
-                        grace_s: save_s,
-                    });
+                    grace_s: if order == Order::Stop { save_s } else { 0.0 },
+                },
+            }));
+        };
+        for item in &machine.listed {
+            let save_s = self.save_s(&item.task.job);
+            let leaving = match machine.leaving(now, save_s, report_ms) {
+                Leaving::Stays | Leaving::Returning if self.overruns(name, &item.task.job) => {
+                    Leaving::Drained
                 }
-            } else if machine.draining || self.overruns(name, &task.job) {
-                commands.push(Command::Halt {
-                    task,
-                    attempt,
-                    grace_s: save_s,
-                });
-            }
+                leaving => leaving,
+            };
+            let reported = Reported::Listed(item.state, item.why);
+            order(leaving, reported, save_s, item.task.clone(), item.attempt);
         }
-        if !machine.draining && !machine.returning && machine.notice_until.is_none() {
-            for (job, task, attempt) in self.unlisted(name) {
-                let go = self.jobs.get(&job).is_some_and(|j| {
-                    !j.cancelled() && j.durable.started_on(name, task) == Some(attempt)
-                });
-                if go {
-                    commands.push(Command::Run {
-                        task: TaskRef { job, task },
-                        attempt,
-                    });
-                }
-            }
+        let leaving = machine.leaving(now, 0.0, report_ms);
+        for (job, task, attempt) in self.unlisted(name) {
+            let task = TaskRef { job, task };
+            order(leaving, Reported::Absent, 0.0, task, attempt);
         }
         commands.truncate(MAX_COMMANDS);
         commands
