A part goes to whom its machines reach; mass silence is not answered by returning all

Ruled out: giving a part up on silence alone (a zone or all machines may be gone), waiting longer (the leases run out meanwhile). Change: controllers say whose machines come to their door; an owner that hears none while a quarter of its machines is heard elsewhere gives the part up, takes none while it is deaf, and asks workers for their state until one answers. A zone of which most is silent is returned later by a replacement's time; what records have on machines that no list has is missing at once; workers wait a moment for the part that a start is about to take. The search of all orders of events holds the decision table; the ready answer and a log line tell how far a start is.

--- a/crates/model/src/protocol/peer.rs
+++ b/crates/model/src/protocol/peer.rs
@@ -22,6 +22,21 @@
     /// How long ago the change feed last answered this controller.
     #[prost(uint64, tag = "7")]
     pub feed_silent_ms: u64,
+    /// No worker reaches this controller, though others are reached.
+    #[prost(bool, tag = "8")]
+    pub deaf: bool,
+    /// Parts of others whose machines came here lately.
+    #[prost(message, repeated, tag = "9")]
+    pub strangers: Vec<StrangersHint>,
+}
+
+/// How many of a part's machines reported lately to a controller that does not own it.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct StrangersHint {
+    #[prost(uint32, tag = "1")]
+    pub part: u32,
+    #[prost(uint32, tag = "2")]
+    pub machines: u32,
 }
 
 /// What an owner says of its part.
--- a/crates/model/src/protocol/worker.rs
+++ b/crates/model/src/protocol/worker.rs
@@ -7,6 +7,9 @@
 pub struct Report {
     #[serde(rename = "Prensa")]
     pub machine: MachineId,
+    /// Where it takes direct requests.
+    #[serde(rename = "Address", default)]
+    pub address: Option<String>,
     #[serde(rename = "Modelo")]
     pub model: String,
     #[serde(rename = "Parcela")]
@@ -37,7 +40,7 @@
     pub why: Option<Why>,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TaskState {
     Pulling,
@@ -46,7 +49,7 @@
     Exited,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Why {
     Done,
--- a/crates/recovery/src/silence.rs
+++ b/crates/recovery/src/silence.rs
@@ -4,8 +4,8 @@
 
 use snowshelf_model::ids::Millis;
 
-/// Fewer machines than this say nothing about the rest.
-const ENOUGH: u32 = 4;
+/// Fewer machines than this say nothing about the rest: each may have lost a message.
+const ENOUGH: u32 = 3;
 /// Share of a part's machines that must have turned up elsewhere before the part goes there.
 const HEARD_ELSEWHERE: f64 = 0.25;
 /// Share of a zone's machines that must be silent for the zone to be taken for cut off.
--- a/crates/recovery/src/squaring.rs
+++ b/crates/recovery/src/squaring.rs
@@ -3,6 +3,7 @@
 //! One cell for each pair of what is stored and what is reported, under the evidence that comes with
 //! the report. `docs/recovery.md` shows the table; a test holds it against this function.
 
+use serde::Serialize;
 use snowshelf_model::protocol::worker::{TaskState, Why};
 use snowshelf_model::records::StepKind;
 
@@ -161,8 +162,8 @@
     Remnant,
 }
 
-/// How often each finding was made.
-#[derive(Clone, Default, PartialEq, Eq, Debug)]
+/// How often each finding was made, attempt by attempt and report by report.
+#[derive(Clone, Default, PartialEq, Eq, Debug, Serialize)]
 pub struct Squared {
     pub agree: u64,
     pub not_begun: u64,
--- /dev/null
+++ b/crates/recovery/tests/squaring.rs
@@ -0,0 +1,472 @@
+//! The decision table against a plain model: one task, one machine, two owners one after the other, and every
+//! order in which reports, answers, writes, ends, expired leases and a takeover can fall. All
+//! states are searched; nothing in the model knows of the table.
+
+use snowshelf_model::protocol::worker::{TaskState, Why};
+use snowshelf_model::records::StepKind;
+use snowshelf_recovery::squaring::{
+    Cell, Evidence, Finding, Leaving, Nature, Order, REPORTED, Reported, STORED, Shown, Stored,
+    square,
+};
+use std::collections::{BTreeSet, HashSet, VecDeque};
+
+type Square = fn(Stored, Reported, Evidence, Leaving, Nature) -> Cell;
+
+/// Attempts are 1 and 2: the place in a list is the attempt less one.
+const ATTEMPTS: u8 = 2;
+type Listed = [Option<(TaskState, Option<Why>)>; ATTEMPTS as usize];
+
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+enum Record {
+    Waiting(u8),
+    Here(u8),
+    Elsewhere(u8),
+    Finished,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+struct Report {
+    session: u8,
+    token: u8,
+    listed: Listed,
+    /// A newer one has been taken in.
+    old: bool,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+struct Answer {
+    token: u8,
+    orders: Vec<(Order, u8)>,
+}
+
+/// What an owner has of the machine.
+#[derive(Clone, PartialEq, Eq, Hash, Debug, Default)]
+struct Picture {
+    session: Option<u8>,
+    shown: bool,
+    listed: Listed,
+    inherited: bool,
+    /// A report has been taken in and not answered.
+    asked: bool,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+struct World {
+    record: Record,
+    view: Record,
+    cancelled: bool,
+    /// The share is over and gone.
+    closed: bool,
+    owner: u8,
+    /// What the first owner had durably started here when the second took over: it may still say so.
+    before: Option<u8>,
+    picture: Picture,
+    session: u8,
+    token: u8,
+    listed: Listed,
+    /// The report that the machine waits for an answer to, and one that it has given up.
+    report: Option<Report>,
+    late: Option<Report>,
+    waits: bool,
+    answer: Option<Answer>,
+    /// The task has completed somewhere.
+    completed: bool,
+    leaving: bool,
+}
+
+const BEGIN: World = World {
+    record: Record::Waiting(1),
+    view: Record::Waiting(1),
+    cancelled: false,
+    closed: false,
+    owner: 1,
+    before: None,
+    picture: Picture {
+        session: None,
+        shown: false,
+        listed: [None; 2],
+        inherited: false,
+        asked: false,
+    },
+    session: 1,
+    token: 0,
+    listed: [None; 2],
+    report: None,
+    late: None,
+    waits: false,
+    answer: None,
+    completed: false,
+    leaving: false,
+};
+
+impl World {
+    fn stored(&self, attempt: u8) -> Stored {
+        let (viewed, durable) = (
+            self.view == Record::Here(attempt),
+            self.record == Record::Here(attempt),
+        );
+        match (viewed, durable, self.cancelled, self.view) {
+            _ if self.closed => Stored::NotOurs,
+            (true, false, _, _) => Stored::Starting,
+            (true, true, false, _) => Stored::Here,
+            (true, true, true, _) => Stored::Cancelled,
+            (false, true, false, _) => Stored::Ending,
+            (false, true, true, _) => Stored::CancelledEnding,
+            (_, _, _, Record::Here(_)) => Stored::OtherAttempt,
+            (_, _, _, Record::Waiting(_)) => Stored::Waiting,
+            (_, _, _, Record::Finished) => Stored::Finished,
+            (_, _, _, Record::Elsewhere(_)) => Stored::Elsewhere,
+        }
+    }
+
+    fn machine(&self) -> Leaving {
+        match self.leaving {
+            true => Leaving::Drained,
+            false => Leaving::Stays,
+        }
+    }
+
+    /// Every cell that this picture needs, under `evidence`.
+    fn cells(&self, evidence: Evidence, square: Square, seen: &mut Seen) -> Vec<(u8, Cell)> {
+        let mut cells = Vec::new();
+        for attempt in 1..=ATTEMPTS {
+            let reported = match self.picture.listed[attempt as usize - 1] {
+                Some((state, why)) => Reported::Listed(state, why),
+                None if self.view == Record::Here(attempt) => Reported::Absent,
+                None => continue,
+            };
+            let stored = self.stored(attempt);
+            let place = |r: &Reported| *r == reported;
+            seen.insert((stored, REPORTED.iter().position(place).unwrap()));
+            let task = Nature::default();
+            let cell = square(stored, reported, evidence, self.machine(), task);
+            cells.push((attempt, cell));
+        }
+        cells
+    }
+
+    fn take_in(&mut self, report: &Report, square: Square, seen: &mut Seen) {
+        if report.old {
+            return;
+        }
+        let shown = report.token == self.owner;
+        let evidence = Evidence {
+            shown: if shown { Shown::Equal } else { Shown::Behind },
+            late: false,
+            new_session: self.picture.session.is_some_and(|s| s < report.session),
+            inherited: shown && std::mem::take(&mut self.picture.inherited),
+        };
+        self.picture.session = Some(report.session);
+        self.picture.shown = shown;
+        self.picture.listed = report.listed;
+        if let Some(late) = &mut self.late {
+            late.old = true;
+        }
+        for (attempt, cell) in self.cells(evidence, square, seen) {
+            match cell.write {
+                Some(StepKind::Finish) => self.view = Record::Finished,
+                Some(_) if self.view == Record::Here(attempt) => {
+                    self.view = Record::Waiting(attempt + 1);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Every state that one event leads to.
+    fn next(&self, square: Square, seen: &mut Seen) -> Vec<World> {
+        let mut next = Vec::new();
+        let mut event = |change: &mut dyn FnMut(&mut World) -> bool| {
+            let mut world = self.clone();
+            if change(&mut world) {
+                next.push(world);
+            }
+        };
+        // The machine reports; gives the report up, which may still arrive; its lease ends.
+        event(&mut |w| {
+            let report = Report {
+                session: w.session,
+                token: w.token,
+                listed: w.listed,
+                old: false,
+            };
+            !std::mem::replace(&mut w.waits, true) && w.report.replace(report).is_none()
+        });
+        event(&mut |w| {
+            // Whatever is answered to it goes to a connection that is closed.
+            (w.answer, w.picture.asked) = (None, false);
+            if let Some(report) = w.report.take() {
+                w.late = Some(report);
+            }
+            std::mem::take(&mut w.waits)
+        });
+        event(&mut |w| {
+            w.session += 1;
+            w.listed = [None; 2];
+            w.session <= 2
+        });
+        // Its tasks go on.
+        for i in 0..ATTEMPTS as usize {
+            let mut goes = |to: TaskState, why: Option<Why>| {
+                event(&mut |w| {
+                    w.listed[i] = Some((to, why));
+                    w.completed |= why == Some(Why::Done);
+                    true
+                });
+            };
+            match self.listed[i] {
+                Some((TaskState::Pulling, _)) => {
+                    goes(TaskState::Running, None);
+                    goes(TaskState::Exited, Some(Why::Unknown));
+                    goes(TaskState::Exited, Some(Why::Full));
+                }
+                Some((TaskState::Running, _)) => {
+                    goes(TaskState::Exited, Some(Why::Done));
+                    goes(TaskState::Exited, Some(Why::Error));
+                }
+                Some((TaskState::Saving, _)) => goes(TaskState::Exited, Some(Why::Stopped)),
+                _ => {}
+            }
+        }
+        // Reports and answers arrive.
+        event(&mut |w| {
+            let Some(report) = w.report.take() else {
+                return false;
+            };
+            w.take_in(&report, square, seen);
+            w.picture.asked = true;
+            true
+        });
+        event(&mut |w| {
+            let Some(report) = w.late.take() else {
+                return false;
+            };
+            w.take_in(&report, square, seen);
+            true
+        });
+        event(&mut |w| {
+            let asked = std::mem::take(&mut w.picture.asked) && w.waits && w.report.is_none();
+            let mut orders = Vec::new();
+            if w.picture.shown {
+                let cells = w.cells(Evidence::PLAIN, square, seen);
+                orders.extend(cells.iter().filter_map(|(a, c)| Some((c.order?, *a))));
+            }
+            let token = w.owner;
+            w.answer = Some(Answer { token, orders });
+            asked
+        });
+        // The first owner, which does not know that it is deposed, answers instead.
+        event(&mut |w| {
+            let order = w.before.map(|attempt| (Order::Run, attempt));
+            let orders = order.into_iter().collect();
+            w.answer = Some(Answer { token: 1, orders });
+            w.owner == 2 && w.report.take().is_some()
+        });
+        event(&mut |w| {
+            let Some(answer) = w.answer.take() else {
+                return false;
+            };
+            w.waits = false;
+            if answer.token >= w.token {
+                w.token = answer.token;
+                for (order, attempt) in answer.orders {
+                    w.execute(order, attempt);
+                }
+            }
+            true
+        });
+        // The owner starts the task, here or elsewhere; its picture becomes durable.
+        if let Record::Waiting(attempt) = self.view
+            && attempt <= ATTEMPTS
+            && !self.cancelled
+            && !self.closed
+        {
+            event(&mut |w| {
+                w.view = Record::Here(attempt);
+                w.picture.shown && !w.leaving
+            });
+            event(&mut |w| {
+                w.view = Record::Elsewhere(attempt);
+                true
+            });
+        }
+        if let Record::Elsewhere(attempt) = self.record
+            && self.view == self.record
+        {
+            event(&mut |w| {
+                (w.view, w.completed) = (Record::Finished, true);
+                true
+            });
+            event(&mut |w| {
+                w.view = Record::Waiting(attempt + 1);
+                true
+            });
+        }
+        event(&mut |w| {
+            w.record = w.view;
+            *w != *self
+        });
+        event(&mut |w| {
+            let idle = w.cancelled && matches!(w.record, Record::Waiting(_));
+            let over = w.record == w.view && (idle || w.record == Record::Finished);
+            !std::mem::replace(&mut w.closed, over) && over
+        });
+        // The user cancels: what is not durable is not started any more.
+        event(&mut |w| {
+            if let Record::Here(a) | Record::Elsewhere(a) = w.view
+                && w.view != w.record
+            {
+                w.view = Record::Waiting(a);
+            }
+            !w.closed && !std::mem::replace(&mut w.cancelled, true)
+        });
+        event(&mut |w| !std::mem::replace(&mut w.leaving, true));
+        // Another owner takes over, with what is durable.
+        event(&mut |w| {
+            let here = match w.record {
+                Record::Here(attempt) => Some(attempt),
+                _ => None,
+            };
+            w.before = here;
+            w.view = w.record;
+            w.picture = Picture {
+                inherited: here.is_some(),
+                ..Picture::default()
+            };
+            std::mem::replace(&mut w.owner, 2) == 1
+        });
+        next
+    }
+
+    fn execute(&mut self, order: Order, attempt: u8) {
+        let i = attempt as usize - 1;
+        let other = self.listed[1 - i].is_some_and(|(state, _)| state != TaskState::Exited);
+        self.listed[i] = match (order, self.listed[i]) {
+            (Order::Run, None) if other => Some((TaskState::Exited, Some(Why::InUse))),
+            (Order::Run, None) => Some((TaskState::Pulling, None)),
+            (Order::Stop, Some((TaskState::Running, _))) => Some((TaskState::Saving, None)),
+            (Order::Kill | Order::Stop, Some((state, _))) if state != TaskState::Exited => {
+                Some((TaskState::Exited, Some(Why::Stopped)))
+            }
+            (Order::Reap, Some((TaskState::Exited, _))) => None,
+            (_, as_it_was) => as_it_was,
+        };
+    }
+
+    /// Which promise is broken here, if any.
+    fn broken(&self) -> Option<&'static str> {
+        let on = |entry: &Option<(TaskState, Option<Why>)>| {
+            entry.is_some_and(|(s, _)| matches!(s, TaskState::Running | TaskState::Saving))
+        };
+        let here = self.listed.iter().any(on);
+        match self.record {
+            Record::Elsewhere(_) if here => Some("ran_twice"),
+            Record::Finished if !self.completed => Some("not_done"),
+            Record::Finished if here => Some("ran again after its end was durable"),
+            _ => None,
+        }
+    }
+}
+
+type Seen = BTreeSet<(Stored, usize)>;
+
+/// Searches all states; the first broken promise, or which cells were needed.
+fn search(square: Square) -> Result<Seen, &'static str> {
+    let mut seen = Seen::new();
+    let mut known = HashSet::from([BEGIN]);
+    let mut queue = VecDeque::from([BEGIN]);
+    while let Some(world) = queue.pop_front() {
+        if let Some(broken) = world.broken() {
+            return Err(broken);
+        }
+        for next in world.next(square, &mut seen) {
+            if known.insert(next.clone()) {
+                queue.push_back(next);
+            }
+        }
+    }
+    Ok(seen)
+}
+
+/// The columns of the table in the documents.
+const COLUMNS: [(&str, usize); 9] = [
+    ("absent", 0),
+    ("fetching", 1),
+    ("running", 2),
+    ("saving", 3),
+    ("done", 4),
+    ("stopped", 5),
+    ("error", 6),
+    ("full, in use", 7),
+    ("unknown", 9),
+];
+
+fn show(stored: Stored, reported: Reported, reached: bool) -> String {
+    let cell = square(
+        stored,
+        reported,
+        Evidence::PLAIN,
+        Leaving::Stays,
+        Nature::default(),
+    );
+    let finding = match cell.finding {
+        Finding::NotBegun => "not begun",
+        Finding::Ended => "ended",
+        Finding::Gone => "gone",
+        Finding::Stray => "stray",
+        Finding::Remnant => "remnant",
+        Finding::Agrees | Finding::Nothing | Finding::Deposed => "agrees",
+    };
+    let write = match cell.write {
+        Some(StepKind::Finish) => ", write done",
+        Some(_) => ", write waits",
+        None => "",
+    };
+    let order = match cell.order {
+        Some(Order::Run) => ", run",
+        Some(Order::Kill) => ", kill",
+        Some(Order::Stop) => ", stop",
+        Some(Order::Reap) => ", reap",
+        None => "",
+    };
+    let mark = if reached { "" } else { " *" };
+    format!("{finding}{write}{order}{mark}")
+}
+
+/// Guards against a table in the documents that is not the one in force, and against a cell that somebody
+/// reaches although it is said that nobody does.
+#[test]
+fn no_order_of_events_breaks_a_promise() {
+    let seen = search(square).unwrap();
+    let heads = COLUMNS.map(|(name, _)| name).join(" | ");
+    let mut table = format!("| stored | {heads} |\n|{}\n", " --- |".repeat(10));
+    for stored in STORED {
+        let cells = COLUMNS.map(|(_, i)| show(stored, REPORTED[i], seen.contains(&(stored, i))));
+        table += &format!("| {stored:?} | {} |\n", cells.join(" | "));
+    }
+    let page = include_str!("../../../docs/recovery.md");
+    assert!(page.contains(&table), "docs/recovery.md lacks:\n{table}");
+}
+
+/// The search can fail: a table that takes the word of a report that has not shown the token, one that takes a failed
+/// task for a done one.
+#[test]
+fn a_wrong_table_is_found_out() {
+    let hasty: Square = |stored, reported, evidence, machine, task| {
+        let shown = evidence.shown.max(Shown::Equal);
+        square(
+            stored,
+            reported,
+            Evidence { shown, ..evidence },
+            machine,
+            task,
+        )
+    };
+    assert_eq!(search(hasty), Err("ran_twice"));
+    let kind: Square = |stored, reported, evidence, machine, task| {
+        let cell = square(stored, reported, evidence, machine, task);
+        let write = cell.write.map(|_| StepKind::Finish);
+        Cell { write, ..cell }
+    };
+    assert_eq!(search(kind), Err("not_done"));
+}
--- a/src/coordination/controller/answers.rs
+++ b/src/coordination/controller/answers.rs
@@ -21,6 +21,9 @@
             self.reply(tag, reply);
             return;
         }
+        if self.hearing.done(id, result) {
+            return;
+        }
         if let Some(tag) = self.cloud.done(id, result) {
             if let CloudTag::PartRelease(part, token, names) = tag {
                 let confirmed = matches!(result, CallResult::Answer { status: 200, .. });
@@ -93,6 +96,7 @@
                             old.drop_held(&mut self.env());
                         }
                         self.shards.insert(part, Shard::new(part, token, now));
+                        self.open_doors();
                     }
                     (Claim::Leader, Some(token)) => {
                         let nodes = f64::from(self.cfg.parts);
--- a/src/coordination/controller/mod.rs
+++ b/src/coordination/controller/mod.rs
@@ -9,6 +9,7 @@
 use super::fleet::Fleet;
 use super::gateway::Gateway;
 use super::graph::Graph;
+use super::hearing::Hearing;
 use super::ownership::Ownership;
 use super::peers::Peers;
 use super::reader::Reader;
@@ -21,8 +22,9 @@
 use crate::outbox::{Input, Outbox, Output};
 use crate::settings::Settings;
 use snowshelf_calendar::guard::Guard;
-use snowshelf_model::ids::{Member, Millis, PartId};
+use snowshelf_model::ids::{ConnId, Member, Millis, PartId};
 use snowshelf_model::protocol::cloud::MachineType;
+use snowshelf_model::protocol::worker::Report;
 use snowshelf_model::records::{Format, Terms};
 use std::collections::BTreeMap;
 
@@ -63,6 +65,9 @@
     guard: Guard,
     fleet: Option<Fleet>,
     peers: Peers,
+    hearing: Hearing,
+    /// Reports of workers that wait for this controller to own their part, and when they came.
+    at_door: Vec<(ConnId, Report, Millis)>,
     hint_at: Millis,
     pools_at: Millis,
     started: Millis,
@@ -110,6 +115,8 @@
             guard: Guard::default(),
             fleet: None,
             peers: Peers::default(),
+            hearing: Hearing::default(),
+            at_door: Vec::new(),
             hint_at: Millis(0),
             pools_at: Millis(0),
             started: now,
--- a/src/coordination/controller/regular.rs
+++ b/src/coordination/controller/regular.rs
@@ -9,14 +9,19 @@
 use crate::coordination::upgrade::terms;
 use crate::outbox::Output;
 use snowshelf_model::ids::{JobId, PartId, Team, WallMs, seconds_to_ms};
-use snowshelf_model::protocol::peer::{FailingHint, Hint, KeptHint, PartHint, PoolHint};
+use snowshelf_model::protocol::peer::{
+    FailingHint, Hint, KeptHint, PartHint, PoolHint, StrangersHint,
+};
 use snowshelf_model::records::{JobSpec, job_key};
+use snowshelf_recovery::silence;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
 const HINT_MS: u64 = 400;
 /// Machines heard within this time are told of to the leader.
 const HEARD_MS: u64 = 10_000;
+/// For so many report intervals a machine that came here is told of to its part's owner.
+const STRANGERS_REPORTS: u64 = 2;
 /// The least time between two workings out of what needs what.
 const GRAPH_MS: u64 = 50;
 /// Most jobs at once that are read because waiting ones need them and nothing is known of them.
@@ -39,6 +44,8 @@
         self.own = own;
         self.check_held();
         let fresh = self.own.fresh(now);
+        self.tick_hearing();
+        self.open_doors();
         let short: BTreeSet<Team> = self.peers.short_of(now);
         let mut missing = self.peers.missing(now);
         missing.extend(self.fleet.iter().flat_map(|f| f.missing.keys().cloned()));
@@ -104,6 +111,37 @@
         }
     }
 
+    /// Whether no machine of any part owned here reaches this controller.
+    fn hears_none(&self) -> bool {
+        let report_ms = self.cfg.settings.report_ms();
+        let mut shards = self.shards.values().map(|s| s.hearing());
+        !self.shards.is_empty() && shards.all(|h| silence::deaf(h, self.out.now, report_ms))
+    }
+
+    /// Hands a part over whose machines reach others and not this controller.
+    fn tick_hearing(&mut self) {
+        let now = self.out.now;
+        let report_ms = self.cfg.settings.report_ms();
+        let hand_over: BTreeSet<PartId> = self
+            .shards
+            .values()
+            .filter(|shard| {
+                let elsewhere = self.peers.strangers(now, shard.part);
+                silence::hand_over(shard.hearing(), elsewhere, now, report_ms)
+            })
+            .map(|shard| shard.part)
+            .collect();
+        if let Some(part) = self.hearing.hand_over(&hand_over, now) {
+            let mut own = std::mem::take(&mut self.own);
+            own.hand_over(part, &mut self.env());
+            self.own = own;
+        }
+        self.own.deaf = self.hearing.deaf;
+        let mut hearing = std::mem::take(&mut self.hearing);
+        hearing.probe(&mut self.env());
+        self.hearing = hearing;
+    }
+
     /// Tells the parts owned here what machines the others have: a reservation is shared by that.
     fn share_pools(&mut self) {
         let mut pools = self.peers.pools(self.out.now);
@@ -285,7 +323,16 @@
                     .collect(),
             });
         }
+        let within_ms = STRANGERS_REPORTS * self.cfg.settings.report_ms();
+        let strangers = self.hearing.strangers(now, within_ms).into_iter();
         let hint = Hint {
+            deaf: self.hearing.deaf || self.hears_none(),
+            strangers: strangers
+                .map(|(part, machines)| StrangersHint {
+                    part: part.0,
+                    machines,
+                })
+                .collect(),
             member: self.cfg.me.as_str().to_string(),
             state_silent_ms: self.state_silent_ms(),
             up_ms: now.since(self.started),
--- a/src/coordination/controller/requests.rs
+++ b/src/coordination/controller/requests.rs
@@ -5,12 +5,17 @@
 use crate::coordination::env::ReadFor;
 use crate::coordination::query;
 use crate::coordination::runs;
+use crate::coordination::shard::Progress;
 use crate::outbox::{Request, Response};
 use serde_json::json;
-use snowshelf_model::ids::{ConnId, JobId, part_of};
+use snowshelf_model::ids::{ConnId, JobId, Millis, PartId, part_of};
 use snowshelf_model::protocol::user;
 use snowshelf_model::protocol::worker::{Report, redirect};
 
+/// For so long after its start a controller has workers wait that it will soon be the owner for, and
+/// for so long each of them waits at the most: a worker gives an answer up after 4 s.
+const STARTING_MS: u64 = 5_000;
+const AT_DOOR_MS: u64 = 1_000;
 const WRONG_METHOD: &str = "this path does not take that method";
 
 impl Controller {
@@ -116,9 +121,13 @@
         // In an outage that everybody shares, leaving the load balancer would only delay the return.
         let served = silent < 3_000 || self.outage();
         let response = if decides && served {
-            Response::new(200, b"{}".to_vec())
+            let parts: Vec<Progress> = self.shards.values().map(|s| s.progress()).collect();
+            let reads = self.reader.stage();
+            let deaf = self.hearing.deaf;
+            Response::json(200, &json!({"reads": reads, "deaf": deaf, "parts": parts}))
         } else {
-            Response::later(503, "not ready", 1)
+            let reads = self.reader.stage().unwrap_or("nothing");
+            Response::later(503, &format!("not ready, reads {reads}"), 1)
         };
         self.out.respond(conn, response);
     }
@@ -133,18 +142,49 @@
                 return;
             }
         };
+        let now = self.out.now;
+        self.report(conn, report, now);
+    }
+
+    /// Whether this controller is about to own a part: nobody does, or its key has this one's name, and
+    /// it has just started.
+    fn will_own(&self, part: PartId) -> bool {
+        let owner = self.mirror.parts.get(&part).map(|v| &v.value.owner);
+        let mine = owner.map_or(*self.cfg.home(part) == self.cfg.me, |o| *o == self.cfg.me);
+        let starting = self.out.now.since(self.started) <= STARTING_MS;
+        mine && starting && !self.hearing.deaf && self.state_silent_ms() < UNSERVED_MS
+    }
+
+    /// Answers the workers that wait for this controller to own their part, once it does or does not.
+    pub(super) fn open_doors(&mut self) {
+        for (conn, report, since) in std::mem::take(&mut self.at_door) {
+            self.report(conn, report, since);
+        }
+    }
+
+    /// Handles a report that came at `since`.
+    fn report(&mut self, conn: ConnId, report: Report, since: Millis) {
+        let now = self.out.now;
         let part = part_of(report.machine.as_str(), self.cfg.parts);
         let held = self.own.token(part).is_some() && self.shards.contains_key(&part);
+        self.hearing.heard(&report, held, part, now);
         if held && self.may_answer() {
             self.with_shard(part, |shard, env| shard.check_in(conn, report, env));
             return;
         }
+        // Guards against a worker sent away a moment before its part is taken here, to look for an owner
+        // a second at a time while its lease runs out.
+        if !held && now.since(since) < AT_DOOR_MS && self.will_own(part) {
+            self.at_door.push((conn, report, since));
+            return;
+        }
         let owner = self
             .mirror
             .parts
             .get(&part)
             .map(|v| v.value.owner.clone())
-            .filter(|owner| *owner != self.cfg.me && !held);
+            // A worker sent to an owner whom no worker reaches waits there for 4 s, and is here again.
+            .filter(|owner| *owner != self.cfg.me && !held && !self.peers.is_deaf(now, owner));
         let response = match owner {
             Some(owner) => Response::new(421, redirect(Some(owner.as_str()))),
             None => Response::new(421, redirect(None)),
--- a/src/coordination/fleet/mod.rs
+++ b/src/coordination/fleet/mod.rs
@@ -182,6 +182,8 @@
                     for name in names {
                         self.listed.remove(&name);
                         self.rented.remove(&name);
+                        // Its owner asks for its return as well: only what it has confirmed itself proves.
+                        self.missing.insert(name.clone(), now);
                         self.returned.insert(name, now);
                     }
                 }
@@ -218,6 +220,20 @@
         for name in self.listed.keys().filter(|n| !seen.contains(n)) {
             self.missing.entry(name.clone()).or_insert(now);
         }
+        // What records have on a machine that is in no list and that nobody hears of is gone as well,
+        // though it was listed before this leader's time.
+        let started = env
+            .mirror
+            .allocs
+            .values()
+            .flat_map(|a| a.value.started.keys());
+        let recorded: BTreeSet<&MachineId> = started.collect();
+        for name in recorded.into_iter().filter(|n| !seen.contains(n)) {
+            let heard = self.heard.get(name.as_str());
+            if heard.is_none_or(|at| now.since(*at) > lag) && !self.rented.contains_key(name) {
+                self.missing.entry(name.clone()).or_insert(now);
+            }
+        }
         self.missing
             .retain(|name, at| !seen.contains(name) && now.since(*at) < 10 * lag);
         self.listed = found
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod gateway;
 pub mod graph;
+pub mod hearing;
 pub mod images;
 pub mod ownership;
 pub mod peers;
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -9,6 +9,8 @@
 
 /// A part without owner is left to its home member for so long.
 const HOME_FIRST_MS: u64 = 700;
+/// A controller that no worker reaches takes a part that nobody else has taken for so long.
+const DEAF_LAST_MS: u64 = 5_000;
 /// The steady clock may run fast or slow by 0.05%; a tenth of that again for measuring.
 const DRIFT_PER_MILLE: u64 = 1;
 
@@ -27,6 +29,8 @@
     giving: Option<PartId>,
     give_at: Millis,
     started: Option<Millis>,
+    /// No worker reaches this controller: it takes no part that another may take.
+    pub deaf: bool,
 }
 
 fn key(claim: Claim) -> String {
@@ -138,6 +142,7 @@
             let held = self.held.get(&claim).copied();
             let free_since = *self.unclaimed_since.entry(claim).or_insert(now);
             let home = match claim {
+                Claim::Part(_) if self.deaf => now.since(free_since) > DEAF_LAST_MS,
                 Claim::Part(p) => *env.cfg.home(p) == env.cfg.me,
                 // Whoever has been up for a while may lead at once.
                 Claim::Leader => now.since(started) > 2 * HOME_FIRST_MS,
@@ -147,7 +152,11 @@
             {
                 continue;
             }
-            if let Verdict::Take(version) = verdict(holder, held, home, now.since(free_since)) {
+            let free_ms = match (self.deaf, claim) {
+                (true, Claim::Part(_)) => 0,
+                _ => now.since(free_since),
+            };
+            if let Verdict::Take(version) = verdict(holder, held, home, free_ms) {
                 self.take(claim, version, env);
             }
         }
@@ -193,10 +202,26 @@
         else {
             return;
         };
+        tracing::info!(part = %part, token = %token, "gives the part back to its home");
+        self.give(part, token, env);
+    }
+
+    /// Hands a part to whoever its machines reach.
+    pub fn hand_over(&mut self, part: PartId, env: &mut Env) {
+        if self.giving.is_some() {
+            return;
+        }
+        if let Some(token) = self.token(part) {
+            tracing::info!(part = %part, token = %token, "hands the part to those whom its machines reach");
+            self.give(part, token, env);
+        }
+    }
+
+    fn give(&mut self, part: PartId, token: Token, env: &mut Env) {
+        let now = env.now();
         if !env.store.may(now, Class::Ownership, 1) {
             return;
         }
-        tracing::info!(part = %part, token = %token, "gives the part back to its home");
         self.giving = Some(part);
         // The part's writes end here: they are conditional on the key that goes.
         self.lose(Claim::Part(part), now);
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -64,7 +64,10 @@
             // Guards against giving a part to a home that does not see it being given: others would
             // take it, and give it again, every second.
             .filter(|(_, h)| {
-                h.up_ms >= SETTLED_MS && h.state_silent_ms < 1_500 && h.feed_silent_ms < SETTLED_MS
+                !h.deaf
+                    && h.up_ms >= SETTLED_MS
+                    && h.state_silent_ms < 1_500
+                    && h.feed_silent_ms < SETTLED_MS
             })
             .map(|(m, _)| m)
             .collect();
@@ -74,6 +77,19 @@
             .collect()
     }
 
+    /// Whether a controller says that no worker reaches it.
+    pub fn is_deaf(&self, now: Millis, member: &Member) -> bool {
+        self.fresh(now).any(|(m, h)| m == member && h.deaf)
+    }
+
+    /// The most machines of a part that any one of the others has lately been reached by.
+    pub fn strangers(&self, now: Millis, part: PartId) -> u32 {
+        let fresh = self.fresh(now).filter(|(_, h)| !h.deaf);
+        let counts = fresh.flat_map(|(_, h)| h.strangers.iter());
+        let ours = counts.filter(|s| s.part == part.0);
+        ours.map(|s| s.machines).max().unwrap_or(0)
+    }
+
     pub fn short_of(&self, now: Millis) -> BTreeSet<Team> {
         self.fresh(now)
             .flat_map(|(_, h)| h.short_of.iter().map(|t| Team::new(t)))
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -70,6 +70,18 @@
 }
 
 impl Reader {
+    /// What is being read, for operators; nothing once all is.
+    pub fn stage(&self) -> Option<&'static str> {
+        let reading = self.reading.as_ref()?;
+        Some(match reading.stages.stage() {
+            Stage::Parts => "parts",
+            Stage::Shares => "shares",
+            Stage::Rest => "rest",
+            Stage::Jobs => "jobs",
+            Stage::Ended | Stage::Over => "ended",
+        })
+    }
+
     /// Whether ended jobs are still being read, which somebody waits for.
     pub fn reads_ended(&self) -> bool {
         self.reading.as_ref().is_some_and(|r| r.open_known)
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -17,10 +17,12 @@
 use super::peers::PartRoom;
 use job::{NumberedStep, ShardJob};
 use machine::Machine;
+use serde::Serialize;
 use snowshelf_calendar::calendar::Pool;
 use snowshelf_model::ids::{Attempt, JobId, MachineId, Millis, PartId, TaskNo, Team, Token};
 use snowshelf_model::protocol::worker::{Report, TaskState};
 use snowshelf_model::records::{Alloc, Grant, QuotaRecord, Step, StepKind};
+use snowshelf_recovery::silence::Hearing;
 use snowshelf_recovery::squaring::Squared;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -49,7 +51,7 @@
     pub elsewhere: Rc<BTreeMap<(PartId, Pool), (u32, u32)>>,
     /// Room kept for teams, as of the last pass.
     pub kept_room: BTreeMap<Team, keeping::KeptRoom>,
-    /// What reports have proved, since the last line on it.
+    /// What reports have proved since the part was taken.
     squared: Squared,
     /// The newest report of each machine from before the picture was built, and when it came.
     early: BTreeMap<MachineId, (Millis, Report)>,
@@ -85,6 +87,18 @@
     waiting_here: bool,
 }
 
+/// How far a part is served.
+#[derive(Serialize)]
+pub struct Progress {
+    pub part: u32,
+    /// Whether its picture is there, so that more than leases is kept up.
+    pub served: bool,
+    /// Machines known, by reports or by records, and those that have shown this owner's token.
+    pub machines: usize,
+    pub shown: usize,
+    pub squared: Squared,
+}
+
 impl Shard {
     pub fn new(part: PartId, token: Token, now: Millis) -> Shard {
         Shard {
@@ -146,6 +160,30 @@
         failing.filter_map(|(id, j)| Some((id, *j.errors.values().max()?)))
     }
 
+    /// What is heard of its machines.
+    pub fn hearing(&self) -> Hearing {
+        let reported = self
+            .machines
+            .values()
+            .filter(|m| m.reported && !m.returning);
+        reported.fold(Hearing::default(), |h, m| Hearing {
+            known: h.known + 1,
+            last: h.last.max(m.heard),
+        })
+    }
+
+    /// How far the part is served, for operators.
+    pub fn progress(&self) -> Progress {
+        let silent = self.machines.values().filter(|m| !m.shown).count();
+        Progress {
+            part: self.part.0,
+            served: self.ready,
+            machines: self.machines.len(),
+            shown: self.machines.len() - silent,
+            squared: self.squared.clone(),
+        }
+    }
+
     /// Machines that reported lately.
     pub fn heard(&self, now: Millis, within_ms: u64) -> impl Iterator<Item = &MachineId> + '_ {
         self.machines
@@ -318,6 +356,9 @@
             running = of("running"), pulling = of("pulling"), exited = of("exited"),
             cached = self.placed[0], coming = self.placed[1], absent = self.placed[2],
             waiting = self.waiting_cpus, jobs = self.jobs.len(), "load in CPUs");
+        let done = &self.squared;
+        tracing::info!(part = %self.part, agree = done.agree, not_begun = done.not_begun, gone = done.gone,
+            ended = done.ended, stray = done.stray, remnant = done.remnant, "reports squared");
     }
 
     fn step(&mut self, now: Millis, job: &JobId, step: Step) -> bool {
--- a/src/coordination/shard/returns.rs
+++ b/src/coordination/shard/returns.rs
@@ -5,7 +5,8 @@
 use crate::coordination::env::{CloudTag, Env};
 use crate::outbox::Response;
 use snowshelf_model::ids::{Attempt, JobId, MachineId, TaskNo, seconds_to_ms};
-use std::collections::BTreeSet;
+use snowshelf_recovery::silence::{ZoneSilence, patience_ms};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Names of returned machines that are remembered, to know late reports by.
 const TOMBSTONES: usize = 4_000;
@@ -20,6 +21,7 @@
         let idle_ms = seconds_to_ms(env.cfg.ops.idle_release_s);
         let waiting = self.waiting_here;
         let mut back: Vec<MachineId> = Vec::new();
+        let zones = self.silences(env);
         let names: Vec<MachineId> = self.machines.keys().cloned().collect();
         for name in names {
             let busy = self.holds_tasks(&name) || self.kept_ready(&name, ahead_ms, env);
@@ -37,7 +39,9 @@
             let limit = if noticed || missing.contains(&name) {
                 2 * report_ms
             } else {
-                lease_ms + 2 * report_ms
+                let cut = zones.get(&m.zone).is_some_and(|z| z.cut());
+                let ready_s = env.types.get(&m.model).map_or(0.0, |t| t.ready_s);
+                patience_ms(lease_ms + 2 * report_ms, cut, seconds_to_ms(ready_s))
             };
             let listed = m.lists_tasks();
             let spent = m.draining && !busy && !listed;
@@ -63,6 +67,19 @@
         }
     }
 
+    /// How many of the machines of each zone are silent.
+    fn silences(&self, env: &Env) -> BTreeMap<usize, ZoneSilence> {
+        let now = env.out.now;
+        let silent_ms = 2 * env.cfg.settings.report_ms();
+        let mut zones: BTreeMap<usize, ZoneSilence> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| m.reported) {
+            let zone = zones.entry(m.zone).or_default();
+            zone.known += 1;
+            zone.silent += u32::from(now.since(m.heard) > silent_ms);
+        }
+        zones
+    }
+
     /// The cloud confirmed that these machines, and all that was on them, are gone.
     pub fn returned(&mut self, machines: &[MachineId], confirmed: bool, env: &mut Env) {
         self.releasing = false;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -68,6 +68,26 @@
     }
 }
 
+/// Guards against an owner that no worker reaches and that, after a lease, returns all its machines, though others
+/// are reached by them: its part goes to one of those, and comes home afterwards.
+#[test]
+fn a_part_goes_to_whom_its_machines_reach() {
+    const LARGE: (f64, usize) = (400.0, 10);
+    let mut expired = Vec::new();
+    for seed in 1..=4 {
+        let mut world = World::sized(seed, CALM, Sabotage::default(), 120, 90_000, LARGE);
+        world.deaf_at(30_000, 70_000, seed as usize % world::NODES);
+        world.run(75_000);
+        assert!(world.workers.len() > 12, "{}", world.workers.len());
+        expired.push((world.expired(), world.workers.len()));
+        world.run(200_000);
+        world.assert_sound(seed);
+    }
+    // Without it 60 leases ran out in these four days.
+    let sum: u64 = expired.iter().map(|(n, _)| n).sum();
+    assert!(sum <= 20, "leases run out and machines: {expired:?}");
+}
+
 #[test]
 fn a_day_follows_from_its_seed() {
     let (a, b) = (1..=2)
--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -12,8 +12,9 @@
     pub up: bool,
 }
 
-#[derive(Default)]
 pub struct Cloud {
+    /// Most machines of one pool.
+    pub pool: usize,
     pub machines: BTreeMap<String, Machine>,
     rented: BTreeMap<String, Value>,
     next: u32,
@@ -21,9 +22,6 @@
     pub later_pages: u64,
 }
 
-/// Most machines of one pool.
-const POOL: usize = 3;
-
 pub fn types() -> Vec<u8> {
     json!({"Modelos": [
         {"Label": "s", "Cpus": 8, "Gpus": 0, "MemGb": 32, "FetchGbPerS": 1.0, "Hourly": 0.5,
@@ -36,6 +34,16 @@
 const PAGE: usize = 2;
 
 impl Cloud {
+    pub fn new(pool: usize) -> Cloud {
+        Cloud {
+            pool,
+            machines: BTreeMap::new(),
+            rented: BTreeMap::new(),
+            next: 0,
+            later_pages: 0,
+        }
+    }
+
     pub fn rent(&mut self, now: u64, body: &Value) -> ((u16, Vec<u8>), Vec<String>) {
         let name = body["Pedido"].as_str().unwrap_or("").to_string();
         if let Some(before) = self.rented.get(&name) {
@@ -44,7 +52,7 @@
         let pool = |m: &&Machine| m.zone == body["Parcela"] && m.spot == body["Avulsas"];
         let there = self.machines.values().filter(pool).count();
         let number =
-            (body["Number"].as_u64().unwrap_or(0) as usize).min(POOL.saturating_sub(there));
+            (body["Number"].as_u64().unwrap_or(0) as usize).min(self.pool.saturating_sub(there));
         if number == 0 {
             let body = json!({"error": "no capacity"}).to_string().into_bytes();
             return ((503, body), Vec::new());
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -115,6 +115,7 @@
     Shrink,
     Restart(usize),
     Refuse(usize, bool),
+    Deaf(usize, bool),
     Outage(bool),
     Report(String),
     ReportTimeout(String, u64),
@@ -180,6 +181,10 @@
     nodes: Vec<Node>,
     pub state: StateService,
     pub cloud: Cloud,
+    /// Leases that ran out on machines that are gone.
+    expired: u64,
+    /// CPUs that each team may use.
+    team_limit: f64,
     pub workers: BTreeMap<String, Worker>,
     pub users: Vec<User>,
     pub bookers: Vec<booking::Booker>,
@@ -205,11 +210,13 @@
     /// Submissions refused because they need a job nobody submitted.
     pub dangling: u64,
     refused: BTreeSet<usize>,
+    /// Controllers that no worker reaches, nor they it.
+    deaf: BTreeSet<usize>,
     outage: bool,
     quiet_at: u64,
 }
 
-fn settings(i: usize) -> Settings {
+fn settings(i: usize, team_limit: f64) -> Settings {
     let mut text = format!(
         "member = \"n{i}\"\nserve_on = \"10.0.0.{0}:1\"\npeer_listen = \"10.0.0.{0}:2\"\n",
         i + 1
@@ -223,8 +230,8 @@
     text += &format!(
         "[outside]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n[deployment]\nnodes = {NODES}\n\
          zones = [\"a\", \"b\"]\nskew_ms = 100.0\n\
-         [[deployment.teams]]\nname = \"red\"\ncpus = 8.0\ncpus_max = {TEAM_LIMIT}\n\
-         [[deployment.teams]]\nname = \"blue\"\ncpus = 8.0\ncpus_max = {TEAM_LIMIT}\n\
+         [[deployment.teams]]\nname = \"red\"\ncpus = 8.0\ncpus_max = {team_limit}\n\
+         [[deployment.teams]]\nname = \"blue\"\ncpus = 8.0\ncpus_max = {team_limit}\n\
          [deployment.workers]\nreport_s = 1.5\nlease_s = 10.0\ncancel_s = 35.0\n\
          [deployment.state]\nrps = 300.0\nwrite_rps = 120.0\nvalue_kb = 16.0\ntxn_ops = 12\n\
          [deployment.state.next]\nwrite_rps = {NEXT_RATE}\nvalue_kb = {NEXT_KB}\ntxn_ops = {NEXT_OPS}\n\
@@ -241,6 +248,18 @@
         sabotage: Sabotage,
         jobs: usize,
         quiet_at: u64,
+    ) -> World {
+        World::sized(seed, weather, sabotage, jobs, quiet_at, (TEAM_LIMIT, 3))
+    }
+
+    /// With so many CPUs for each team, and so many machines in each pool.
+    pub fn sized(
+        seed: u64,
+        weather: Weather,
+        sabotage: Sabotage,
+        jobs: usize,
+        quiet_at: u64,
+        (team_limit, pool): (f64, usize),
     ) -> World {
         let mut world = World {
             now: 1,
@@ -250,7 +269,9 @@
             order: 0,
             nodes: Vec::new(),
             state: StateService::new(sabotage.no_conditions),
-            cloud: Cloud::default(),
+            cloud: Cloud::new(pool),
+            expired: 0,
+            team_limit,
             workers: BTreeMap::new(),
             users: Vec::new(),
             bookers: Vec::new(),
@@ -270,6 +291,7 @@
             starts: 0,
             dangling: 0,
             refused: BTreeSet::new(),
+            deaf: BTreeSet::new(),
             outage: false,
             quiet_at,
         };
@@ -353,6 +375,13 @@
         self.at(at, Event::Crash(node));
     }
 
+    /// Lets no worker reach a controller.
+    #[allow(dead_code)]
+    pub fn deaf_at(&mut self, from: u64, until: u64, node: usize) {
+        self.at(from, Event::Deaf(node, true));
+        self.at(until, Event::Deaf(node, false));
+    }
+
     /// Lets the state service be away.
     #[allow(dead_code)]
     pub fn outage_at(&mut self, from: u64, until: u64) {
@@ -482,7 +511,11 @@
                 })
                 .into();
         }
-        node.controller = Some(Controller::new(settings(i), ops, Millis(1)));
+        node.controller = Some(Controller::new(
+            settings(i, self.team_limit),
+            ops,
+            Millis(1),
+        ));
         let life = node.life;
         self.after(1, Event::Tick(i, life));
     }
@@ -601,6 +634,8 @@
                         }
                     }
                     Target::Cloud => Some(self.cloud_call(method, &path, &body)),
+                    Target::Worker(_) if self.deaf.contains(&node) => None,
+                    Target::Worker(_) if path == "/status" => Some((200, b"{}".to_vec())),
                     Target::Worker(_) => Some((409, b"{}".to_vec())),
                 };
                 let wrote = matches!(target, Target::State) && path == "/txn";
@@ -655,6 +690,13 @@
                     self.refused.remove(&i);
                 }
             }
+            Event::Deaf(i, on) => {
+                if on {
+                    self.deaf.insert(i);
+                } else {
+                    self.deaf.remove(&i);
+                }
+            }
             Event::Outage(on) => {
                 self.outage = on;
                 self.state.outage(self.now, on);
@@ -718,7 +760,8 @@
                     let name = name.as_str().unwrap_or("").to_string();
                     self.cloud.release(self.now, &name);
                     if !self.sabotage.false_returns {
-                        self.workers.remove(&name);
+                        let gone = self.workers.remove(&name);
+                        self.expired += gone.map_or(0, |w| w.expired());
                     }
                 }
                 (200, b"{}".to_vec())
@@ -768,7 +811,8 @@
         w.expire(now);
         let (number, node, body) = w.begin_report(now);
         let asked = Asked::Worker(name.to_string(), number);
-        let sent = {
+        let unheard = self.deaf.contains(&node);
+        let sent = unheard || {
             let lost = now < self.quiet_at && self.rng.random_bool(self.weather.lost);
             !lost && self.ask(node, "POST", "/checkin", body, asked)
         };
@@ -783,7 +827,9 @@
 
     fn worker_answer(&mut self, name: &str, number: u64, status: u16, body: &[u8]) {
         let now = self.now;
-        let lost = now < self.quiet_at && self.rng.random_bool(self.weather.lost);
+        let deaf = |w: &Worker| self.deaf.contains(&w.node);
+        let lost = self.workers.get(name).is_some_and(deaf)
+            || (now < self.quiet_at && self.rng.random_bool(self.weather.lost));
         let no_tokens = self.sabotage.no_tokens;
         let Some(w) = self.workers.get_mut(name) else {
             return;
@@ -1027,7 +1073,7 @@
             }
         }
         for (team, cpus) in used {
-            if cpus > TEAM_LIMIT + 1e-6 {
+            if cpus > self.team_limit + 1e-6 {
                 broken.push(format!("quota: {team} uses {cpus}"));
             }
         }
@@ -1063,6 +1109,12 @@
 }
 
 impl World {
+    /// Leases of workers that ran out.
+    #[allow(dead_code)] // Used by some of the tests that share this world.
+    pub fn expired(&self) -> u64 {
+        self.expired + self.workers.values().map(Worker::expired).sum::<u64>()
+    }
+
     /// Fails unless every rule has held and every user was told of an end.
     #[track_caller]
     #[allow(dead_code)] // Used by some of the tests that share this world.
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// How often its lease has run out.
+    pub fn expired(&self) -> u64 {
+        self.session - 1
+    }
+
     pub fn next_node(&mut self, to: Option<usize>) {
         self.node = to.unwrap_or((self.node + 1) % NODES);
     }
