The tests' world is a package; zones can be cut and controllers deafened in it

Change: tests/world moves to crates/world; teams' limits and pools are given, workers can be cut off by zone and by controller.

--- a/crates/recovery/src/reading.rs
+++ b/crates/recovery/src/reading.rs
@@ -14,8 +14,6 @@
 pub const MOST_A_PAGE: u32 = 1_000;
 /// Fewest keys asked for at once when those wanted lie far apart.
 const FEWEST_A_PAGE: u32 = 8;
-/// As many keys may be read in vain for each one that is wanted before pages get shorter.
-const IN_VAIN: usize = 64;
 /// So many revisions are looked back for jobs that changed lately; the service keeps 10,000 changes,
 /// of which a revision may have several.
 const LOOK_BACK: u64 = 8_000;
@@ -192,12 +190,7 @@
         let Ask::Page { starts, after, .. } = ask else {
             return None;
         };
-        let mut last: Option<&str> = None;
-        let mut count = 0;
-        for key in keys {
-            last = Some(key);
-            count += 1;
-        }
+        let last = keys.last();
         let covered = Covered {
             starts,
             after: after.clone(),
@@ -244,10 +237,11 @@
             }
             Stage::Jobs => {
                 self.jobs_begun = true;
-                self.limit = if passed.len() * IN_VAIN < count {
-                    (self.limit / 2).max(FEWEST_A_PAGE)
-                } else {
-                    (self.limit * 2).min(MOST_A_PAGE)
+                // A page that brought several saves requests; one that brought a single one was read in
+                // vain but for its first key.
+                self.limit = match passed.len() {
+                    0 | 1 => (self.limit / 2).max(FEWEST_A_PAGE),
+                    _ => (self.limit * 2).min(MOST_A_PAGE),
                 };
                 self.end_jobs();
             }
--- a/tests/world/mod.rs
+++ b/crates/world/src/lib.rs
@@ -1,11 +1,9 @@
 //! A small deterministic world: state service, cloud, workers, users and a network that delays,
 //! loses and cuts, around real controllers' state machines. Everything follows from the seed.
 
-#[allow(dead_code)] // Used by some of the tests that share this world.
 pub mod booking;
 pub mod cloud;
-mod frozen;
-#[allow(dead_code)] // Used by some of the tests that share this world.
+pub mod frozen;
 pub mod running;
 pub mod state;
 pub mod workers;
@@ -116,6 +114,7 @@
     Restart(usize),
     Refuse(usize, bool),
     Deaf(usize, bool),
+    Cut(String, bool),
     Outage(bool),
     Report(String),
     ReportTimeout(String, u64),
@@ -212,6 +211,8 @@
     refused: BTreeSet<usize>,
     /// Controllers that no worker reaches, nor they it.
     deaf: BTreeSet<usize>,
+    /// A zone whose workers reach nobody.
+    cut: Option<String>,
     outage: bool,
     quiet_at: u64,
 }
@@ -292,6 +293,7 @@
             dangling: 0,
             refused: BTreeSet::new(),
             deaf: BTreeSet::new(),
+            cut: None,
             outage: false,
             quiet_at,
         };
@@ -370,27 +372,29 @@
     }
 
     /// Lets a controller crash, to come back a while later.
-    #[allow(dead_code)]
     pub fn crash_at(&mut self, at: u64, node: usize) {
         self.at(at, Event::Crash(node));
     }
 
     /// Lets no worker reach a controller.
-    #[allow(dead_code)]
     pub fn deaf_at(&mut self, from: u64, until: u64, node: usize) {
         self.at(from, Event::Deaf(node, true));
         self.at(until, Event::Deaf(node, false));
     }
 
+    /// Lets the workers of a zone reach nobody.
+    pub fn cut_at(&mut self, from: u64, until: u64, zone: &str) {
+        self.at(from, Event::Cut(zone.to_string(), true));
+        self.at(until, Event::Cut(zone.to_string(), false));
+    }
+
     /// Lets the state service be away.
-    #[allow(dead_code)]
     pub fn outage_at(&mut self, from: u64, until: u64) {
         self.at(from, Event::Outage(true));
         self.at(until, Event::Outage(false));
     }
 
     /// A user with a job of one's own, beside those drawn.
-    #[allow(dead_code)]
     pub fn add_user(&mut self, submit_at: u64, spec: Value) {
         let job = format!("wk-{:06}", self.users.len() + 1);
         let mut whole = json!({"Ref": job, "Lote": "c", "Cuadrilla": "red", "Feitio": "batch",
@@ -697,6 +701,8 @@
                     self.deaf.remove(&i);
                 }
             }
+            Event::Cut(zone, true) => self.cut = Some(zone),
+            Event::Cut(_, false) => self.cut = None,
             Event::Outage(on) => {
                 self.outage = on;
                 self.state.outage(self.now, on);
@@ -811,7 +817,8 @@
         w.expire(now);
         let (number, node, body) = w.begin_report(now);
         let asked = Asked::Worker(name.to_string(), number);
-        let unheard = self.deaf.contains(&node);
+        let zone = self.workers.get(name).map(|w| &w.zone);
+        let unheard = self.deaf.contains(&node) || (zone.is_some() && zone == self.cut.as_ref());
         let sent = unheard || {
             let lost = now < self.quiet_at && self.rng.random_bool(self.weather.lost);
             !lost && self.ask(node, "POST", "/checkin", body, asked)
@@ -827,7 +834,7 @@
 
     fn worker_answer(&mut self, name: &str, number: u64, status: u16, body: &[u8]) {
         let now = self.now;
-        let deaf = |w: &Worker| self.deaf.contains(&w.node);
+        let deaf = |w: &Worker| self.deaf.contains(&w.node) || self.cut.as_ref() == Some(&w.zone);
         let lost = self.workers.get(name).is_some_and(deaf)
             || (now < self.quiet_at && self.rng.random_bool(self.weather.lost));
         let no_tokens = self.sabotage.no_tokens;
@@ -1099,7 +1106,6 @@
     }
 
     /// Jobs whose users have heard the end.
-    #[allow(dead_code)]
     pub fn settled(&self) -> usize {
         self.users
             .iter()
@@ -1110,14 +1116,12 @@
 
 impl World {
     /// Leases of workers that ran out.
-    #[allow(dead_code)] // Used by some of the tests that share this world.
     pub fn expired(&self) -> u64 {
         self.expired + self.workers.values().map(Worker::expired).sum::<u64>()
     }
 
     /// Fails unless every rule has held and every user was told of an end.
     #[track_caller]
-    #[allow(dead_code)] // Used by some of the tests that share this world.
     pub fn assert_sound(&self, seed: u64) {
         assert_eq!(self.broken, Vec::<String>::new(), "seed {seed}");
         let all = self.settled() == self.users.len();
--- a/tests/world/state.rs
+++ b/crates/world/src/state.rs
@@ -106,7 +106,6 @@
     }
 
     /// Jobs that ended long ago, between the others' names, and pages so short that they fill many.
-    #[allow(dead_code)] // Used by some of the tests that share this world.
     pub fn long_history(&mut self, ended: usize, page_most: usize) {
         self.page_most = page_most;
         for n in 0..ended {
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -1,14 +1,8 @@
 //! The program as users run it: a real controller on loopback, spoken to by its own command line, killed
 //! and started again. The state service and the cloud are stand-ins on loopback too.
 
-#[path = "world/frozen.rs"]
-mod frozen;
-#[path = "world/state.rs"]
-#[allow(dead_code)]
-mod state;
-
 use snowshelf::outbox::Method;
-use state::StateService;
+use snowshelf_world::state::StateService;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -1,8 +1,5 @@
 //! Generated inputs for formats and state machines. The seed is fixed: the verdict never changes.
 
-#[path = "world/frozen.rs"]
-mod frozen;
-
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 use snowshelf::bookkeeping::mirror::{Final, Mirror, Versioned};
@@ -20,6 +17,7 @@
     Alloc, Format, Grant, JobRecord, JobState, QuotaRecord, Room, Step, StepKind, Terms,
 };
 use snowshelf_model::spans::Spans;
+use snowshelf_world::frozen;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
--- a/tests/reserving.rs
+++ b/tests/reserving.rs
@@ -1,9 +1,7 @@
 //! Reservations and windows in the stand-in world, with whole controllers.
 
-mod world;
-
 use serde_json::json;
-use world::{Sabotage, Weather, World};
+use snowshelf_world::{Sabotage, Weather, World};
 
 const CALM: Weather = Weather {
     calendar: true,
@@ -30,7 +28,9 @@
     while at < until {
         at += 100;
         world.run(at);
-        let on = |t: &world::workers::WorkerTask| t.name.starts_with(&job) && t.state == "running";
+        let on = |t: &snowshelf_world::workers::WorkerTask| {
+            t.name.starts_with(&job) && t.state == "running"
+        };
         if world.workers.values().any(|w| w.tasks.iter().any(on)) {
             return Some(at);
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,8 +1,6 @@
 //! Whole controllers in the stand-in world: PROTOCOL's rules are checked after every event.
 
-mod world;
-
-use world::{Sabotage, Weather, World};
+use snowshelf_world::{Sabotage, Weather, World};
 
 const CALM: Weather = Weather::CALM;
 const STORM: Weather = Weather::STORM;
@@ -59,7 +57,7 @@
         let mut world = World::new(seed, STORM, Sabotage::default(), 14, 90_000);
         world.state.long_history(400, 1 + seed as usize % 7);
         for (i, at) in [20_000, 31_000, 45_000].into_iter().enumerate() {
-            for node in 0..world::NODES {
+            for node in 0..snowshelf_world::NODES {
                 world.crash_at(at + (i * node) as u64 * 400, node);
             }
         }
@@ -68,15 +66,51 @@
     }
 }
 
+/// CPUs of a team and machines of a pool where single machines should not matter.
+const LARGE: (f64, usize) = (400.0, 10);
+
+/// Guards against returning a whole zone's machines, with their images, a moment before its cut ends, and against
+/// waiting for ever for one that does not: they are waited for as long again as new ones take to be up (5 s).
+#[test]
+fn a_cut_zone_is_waited_for_but_not_for_ever() {
+    for (cut_ms, stay) in [(15_500, true), (30_000, false)] {
+        let (mut before, mut left) = (0, 0);
+        for seed in 1..=4 {
+            let mut world = World::sized(seed, CALM, Sabotage::default(), 120, 90_000, LARGE);
+            world.run_ms = 40_000;
+            world.cut_at(40_000, 40_000 + cut_ms, "a");
+            world.run(40_000);
+            let busy: Vec<String> = world
+                .workers
+                .iter()
+                .filter(|(_, w)| w.zone == "a" && !w.tasks.is_empty())
+                .map(|(name, _)| name.clone())
+                .collect();
+            world.run(40_000 + cut_ms);
+            before += busy.len();
+            left += busy
+                .iter()
+                .filter(|n| world.workers.contains_key(*n))
+                .count();
+        }
+        assert!(before > 20, "{before}");
+        // A part with few machines of the zone cannot tell.
+        let most = before * 9 / 10;
+        assert!(
+            if stay { left >= most } else { left == 0 },
+            "{left} of {before}"
+        );
+    }
+}
+
 /// Guards against an owner that no worker reaches and that, after a lease, returns all its machines, though others
 /// are reached by them: its part goes to one of those, and comes home afterwards.
 #[test]
 fn a_part_goes_to_whom_its_machines_reach() {
-    const LARGE: (f64, usize) = (400.0, 10);
     let mut expired = Vec::new();
     for seed in 1..=4 {
         let mut world = World::sized(seed, CALM, Sabotage::default(), 120, 90_000, LARGE);
-        world.deaf_at(30_000, 70_000, seed as usize % world::NODES);
+        world.deaf_at(30_000, 70_000, seed as usize % snowshelf_world::NODES);
         world.run(75_000);
         assert!(world.workers.len() > 12, "{}", world.workers.len());
         expired.push((world.expired(), world.workers.len()));
--- a/tests/running.rs
+++ b/tests/running.rs
@@ -1,14 +1,12 @@
 //! Runs of graphs in the stand-in world, with whole controllers.
 
-mod world;
-
 use serde_json::json;
 use snowshelf_dag::graph::{Graph, Schedule};
 use snowshelf_dag::run::Asked;
 use snowshelf_dag::schedule::run_of;
+use snowshelf_world::booking::BEGAN;
+use snowshelf_world::{SKEW_MS, Sabotage, Weather, World};
 use std::collections::BTreeMap;
-use world::booking::BEGAN;
-use world::{SKEW_MS, Sabotage, Weather, World};
 
 const CALM: Weather = Weather {
     graphs: true,
