What else a start wants is worked out once per round of its reading

Cause: read over the change once more: the set of wanted jobs was made anew after every page, which grows with the square of the open jobs where each takes a page. Change: only when all that was wanted is settled.

--- a/crates/recovery/src/reading.rs
+++ b/crates/recovery/src/reading.rs
@@ -262,11 +262,6 @@
         }
     }
 
-    /// Whether what is open is known: no more jobs are wanted, as far as the caller has said.
-    pub fn open_known(&self) -> bool {
-        self.stage > Stage::Jobs || (self.stage == Stage::Jobs && self.wanted.is_empty())
-    }
-
     /// Goes on once the caller knows of no further jobs that it wants.
     pub fn jobs_over(&mut self) {
         if self.stage == Stage::Jobs && self.wanted.is_empty() {
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -237,7 +237,8 @@
         let stage = reading.stages.stage();
         env.mirror.parts_read |= stage > Stage::Parts;
         env.mirror.shares_read |= stage >= Stage::Jobs;
-        if stage == Stage::Jobs {
+        // Asked once all that was wanted is settled: what else is, by then.
+        if stage == Stage::Jobs && reading.stages.wanted() == 0 {
             let wanted = env.mirror.wanted();
             reading.stages.want(wanted.iter());
             // Jobs known from before may have changed while nothing was heard.
