--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -66,6 +66,26 @@
     }
 }
 
+/// Guards against parts that change hands because nobody is heard, in the middle of everything else.
+#[test]
+fn the_rules_hold_in_storms_with_deaf_controllers_and_cut_zones() {
+    for seed in 1..=40 {
+        let size = (60.0, 5);
+        let mut world = World::sized(seed, STORM, Sabotage::default(), 20, 90_000, size);
+        let nodes = snowshelf_world::NODES as u64;
+        for i in 0..3 {
+            let at = 9_000 + 24_000 * i + 1_700 * (seed % 11);
+            let node = (seed + i) % nodes;
+            world.deaf_at(at, at + 3_000 + 1_300 * (seed % 13), node as usize);
+        }
+        let at = 20_000 + 2_100 * (seed % 17);
+        let zone = if seed % 2 == 0 { "a" } else { "b" };
+        world.cut_at(at, at + 5_000 + 1_900 * (seed % 9), zone);
+        world.run(280_000);
+        world.assert_sound(seed);
+    }
+}
+
 /// CPUs of a team and machines of a pool where single machines should not matter.
 const LARGE: (f64, usize) = (400.0, 10);
 
