A job is looked up once for each attempt in a report

Change: its share is looked up once and handed on; which orders come of it is as before. Ruled out: keeping it beside the listed task, which goes stale.

--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -1,13 +1,14 @@
 //! Workers' reports: what they prove, and the commands that their answers carry.
 
 use super::Shard;
+use super::job::ShardJob;
 use super::machine::{Held, Machine, OnMachine};
 use crate::coordination::env::Env;
 use crate::outbox::Response;
 use snowshelf_calendar::calendar::Pool;
 use snowshelf_model::ids::{Attempt, ConnId, JobId, MachineId, Millis, TaskNo, seconds_to_ms};
 use snowshelf_model::protocol::worker::{Answer, Command, Report, TaskRef, TaskState};
-use snowshelf_model::records::{Kind, Step};
+use snowshelf_model::records::{JobSpec, Kind, Step};
 use snowshelf_recovery::squaring::{
     Evidence, Leaving, Nature, Order, Reported, Shown, Stored, Tells, square,
 };
@@ -177,9 +178,9 @@
         env.out.respond(conn, Response::new(200, body));
     }
 
-    /// What the records and the picture say of an attempt on a machine.
-    fn stored(&self, name: &MachineId, job: &JobId, task: TaskNo, attempt: Attempt) -> Stored {
-        let Some(j) = self.jobs.get(job) else {
+    /// What the records and the picture say of an attempt on a machine, by the part's share of its job.
+    fn stored(job: Option<&ShardJob>, name: &MachineId, task: TaskNo, attempt: Attempt) -> Stored {
+        let Some(j) = job else {
             return Stored::NotOurs;
         };
         let here = j.view.started_on(name, task);
@@ -199,19 +200,13 @@
         }
     }
 
-    fn nature(&self, job: &JobId) -> Nature {
-        let spec = self.jobs.get(job).and_then(|j| j.spec());
+    fn nature(spec: Option<&JobSpec>) -> Nature {
         spec.map_or(Nature::default(), |s| Nature {
             standing: s.kind == Kind::Standing,
             saves: s.checkpoint_s > 0.0,
         })
     }
 
-    fn save_s(&self, job: &JobId) -> f64 {
-        let spec = self.jobs.get(job).and_then(|j| j.spec());
-        spec.map_or(0.0, |s| s.save_s)
-    }
-
     /// Draws what the newest report proves. The machine has shown this owner's token.
     fn settle(&mut self, name: &MachineId, evidence: Evidence, now: Millis, env: &Env) {
         let Some(machine) = self.machines.get(name) else {
@@ -222,14 +217,17 @@
         let mut proofs = Vec::new();
         for item in &listed {
             let (job, task, attempt) = (&item.task.job, item.task.task, item.attempt);
-            let stored = self.stored(name, job, task, attempt);
+            let ours = self.jobs.get(job);
+            let stored = Self::stored(ours, name, task, attempt);
+            let nature = Self::nature(ours.and_then(|j| j.spec()));
             let reported = Reported::Listed(item.state, item.why);
-            let cell = square(stored, reported, evidence, leaving, self.nature(job));
+            let cell = square(stored, reported, evidence, leaving, nature);
             proofs.push((cell, job.clone(), task, attempt));
         }
         for (job, task, attempt) in self.unlisted(name) {
-            let stored = self.stored(name, &job, task, attempt);
-            let nature = self.nature(&job);
+            let ours = self.jobs.get(&job);
+            let stored = Self::stored(ours, name, task, attempt);
+            let nature = Self::nature(ours.and_then(|j| j.spec()));
             let cell = square(stored, Reported::Absent, evidence, leaving, nature);
             proofs.push((cell, job, task, attempt));
         }
@@ -397,9 +395,21 @@
         }
         let report_ms = env.cfg.settings.report_ms();
         let mut commands = Vec::new();
-        let mut order = |leaving, reported, save_s, task: TaskRef, attempt| {
-            let stored = self.stored(name, &task.job, task.task, attempt);
-            let nature = self.nature(&task.job);
+        let mut order = |machine_leaves, reported, task: TaskRef, attempt| {
+            let job = self.jobs.get(&task.job);
+            let spec = job.and_then(|j| j.spec());
+            let save_s = spec.map_or(0.0, |s| s.save_s);
+            let leaving = match machine_leaves {
+                Some(leaving) => leaving,
+                None => match machine.leaving(now, save_s, report_ms) {
+                    Leaving::Stays | Leaving::Returning if self.overruns(name, &task.job) => {
+                        Leaving::Drained
+                    }
+                    leaving => leaving,
+                },
+            };
+            let stored = Self::stored(job, name, task.task, attempt);
+            let nature = Self::nature(spec);
             let cell = square(stored, reported, Evidence::PLAIN, leaving, nature);
             commands.extend(cell.order.map(|order| match order {
                 Order::Run => Command::Run { task, attempt },
@@ -412,20 +422,13 @@
             }));
         };
         for item in &machine.listed {
-            let save_s = self.save_s(&item.task.job);
-            let leaving = match machine.leaving(now, save_s, report_ms) {
-                Leaving::Stays | Leaving::Returning if self.overruns(name, &item.task.job) => {
-                    Leaving::Drained
-                }
-                leaving => leaving,
-            };
             let reported = Reported::Listed(item.state, item.why);
-            order(leaving, reported, save_s, item.task.clone(), item.attempt);
+            order(None, reported, item.task.clone(), item.attempt);
         }
-        let leaving = machine.leaving(now, 0.0, report_ms);
+        // Whether a task has to make room matters only to one that is there.
+        let leaving = Some(machine.leaving(now, 0.0, report_ms));
         for (job, task, attempt) in self.unlisted(name) {
-            let task = TaskRef { job, task };
-            order(leaving, Reported::Absent, 0.0, task, attempt);
+            order(leaving, Reported::Absent, TaskRef { job, task }, attempt);
         }
         commands.truncate(MAX_COMMANDS);
         commands
