A horizon of knowledge bounds how long workers are kept without the state service

Change: crates/horizon; no report is answered that came later than the newest complete reading or feed and what cancel_s leaves beside a lease; rounds in which all other controllers say what they have confirmed move the horizon on in an outage; what they name is halted at once. A job that needs others is not called open by a controller that may not know of their cancellation.

--- /dev/null
+++ b/crates/horizon/src/lib.rs
@@ -0,0 +1,72 @@
+//! Up to when a controller knows of every cancellation that a user was told of (its knowledge horizon), and
+//! for how long it may answer workers on the strength of that. Pure: no clock, no socket.
+//!
+//! An answer lets a worker's tasks live for another lease, counted from when the report was sent. So a task
+//! whose cancellation this controller does not know is gone in time if no answer is given to a report that
+//! came later than the horizon and what `cancel_s` leaves beside a lease.
+
+pub mod attesting;
+pub mod confirmed;
+
+use snowshelf_model::ids::Millis;
+
+/// Steady clocks drift apart by 0.05% each way; rounded up for both.
+const DRIFT_PER_MILLE: u64 = 1;
+/// For a worker's timers, which fire in steps, and for killing what it has.
+const TIMERS_MS: u64 = 1_000;
+
+/// How much later than an interval measured by one clock another one may end.
+pub fn with_drift(ms: u64) -> u64 {
+    ms + (ms * DRIFT_PER_MILLE).div_ceil(1_000)
+}
+
+/// For so long after its horizon an owner may answer reports; 0 where `cancel_s` leaves no room beside a lease.
+pub fn answering_ms(cancel_ms: u64, lease_ms: u64) -> u64 {
+    let cancel_ms = cancel_ms - (cancel_ms * DRIFT_PER_MILLE).div_ceil(1_000);
+    cancel_ms.saturating_sub(with_drift(lease_ms) + TIMERS_MS)
+}
+
+/// The moment up to which everything that any user was told is known.
+#[derive(Clone, Copy, Default, Debug)]
+pub struct Horizon {
+    /// When the newest request was sent whose answer left no gap in the mirror.
+    feed: Option<Millis>,
+    /// When the newest round was asked in which every other controller said what it has confirmed.
+    attested: Option<Millis>,
+}
+
+impl Horizon {
+    pub fn at(self) -> Option<Millis> {
+        self.feed.max(self.attested)
+    }
+    pub fn feed(self) -> Option<Millis> {
+        self.feed
+    }
+    /// The state service has answered a request sent at `sent`, and nothing before that is missing.
+    pub fn read(&mut self, sent: Millis) {
+        self.feed = self.feed.max(Some(sent));
+    }
+    /// All others have said what they have confirmed up to `asked`.
+    pub fn attest(&mut self, asked: Millis) {
+        self.attested = self.attested.max(Some(asked));
+    }
+}
+
+/// What the owner of a part bases its answers on.
+#[derive(Clone, Copy, Debug)]
+pub enum Picture {
+    /// The records as of the controller's horizon.
+    Read(Option<Millis>),
+    /// Nothing has been read since the part was taken then. Its predecessor kept the workers up to that moment
+    /// by what it knew.
+    Taken(Millis),
+}
+
+/// Whether a report that came at `received` may be answered, so that its worker goes on for a lease.
+pub fn may_answer(picture: Picture, received: Millis, answering_ms: u64) -> bool {
+    match picture {
+        Picture::Read(horizon) => horizon.is_some_and(|h| received <= h.plus(answering_ms)),
+        // Half, as the predecessor may have been behind itself.
+        Picture::Taken(at) => received <= at.plus(answering_ms / 2),
+    }
+}
--- /dev/null
+++ b/crates/horizon/tests/horizon.rs
@@ -0,0 +1,185 @@
+//! What may be concluded from what was read and from what others say, each test named after the failure it guards against.
+
+use proptest::prelude::*;
+use snowshelf_horizon::attesting::{Answer, Attesting, Ignored};
+use snowshelf_horizon::confirmed::Confirmed;
+use snowshelf_horizon::{Horizon, Picture, answering_ms, may_answer, with_drift};
+use snowshelf_model::ids::{JobId, Member, Millis};
+use std::collections::BTreeSet;
+
+fn others() -> BTreeSet<Member> {
+    ["b", "c"].map(Member::new).into()
+}
+
+fn answer(from: &str, incarnation: u64, sequence: u64) -> Answer {
+    Answer {
+        from: Member::new(from),
+        incarnation,
+        sequence,
+        complete: true,
+        cancelled: Vec::new(),
+    }
+}
+
+/// Guards against an answer that lets a task live beyond `cancel_s`: of the two clocks one may be slow and
+/// the other fast.
+#[test]
+fn what_an_answer_keeps_alive_ends_within_the_time_for_cancelling() {
+    for (cancel_ms, lease_ms) in [(56_000, 31_000), (52_000, 22_000), (35_000, 10_000)] {
+        let answering = answering_ms(cancel_ms, lease_ms);
+        let (slow, most) = (1.0 + 0.0005, cancel_ms as f64);
+        let lives_ms = answering as f64 * slow + lease_ms as f64 * slow;
+        assert!(lives_ms + 900.0 <= most, "{lives_ms} of {most}");
+        assert!(lives_ms + 1_200.0 >= most, "{lives_ms} of {most}");
+    }
+    // No room beside a lease: the safe side.
+    assert_eq!(answering_ms(9_000, 10_000), 0);
+    let at = Some(Millis(5));
+    assert!(may_answer(Picture::Read(at), Millis(105), 100));
+    assert!(!may_answer(Picture::Read(at), Millis(106), 100));
+    assert!(!may_answer(Picture::Read(None), Millis(5), 100));
+    assert!(may_answer(Picture::Taken(Millis(5)), Millis(55), 100));
+    assert!(!may_answer(Picture::Taken(Millis(5)), Millis(56), 100));
+    // Neither source takes the horizon back.
+    let mut horizon = Horizon::default();
+    horizon.attest(Millis(9));
+    horizon.read(Millis(7));
+    horizon.attest(Millis(8));
+    assert_eq!(
+        (horizon.at(), horizon.feed()),
+        (Some(Millis(9)), Some(Millis(7)))
+    );
+}
+
+/// Guards against a horizon moved by words that do not prove it: each thing that can be missing.
+#[test]
+fn a_round_proves_nothing_unless_everybody_has_answered_it_in_full() {
+    let mut a = Attesting::new(7);
+    let asked = Millis(10_000);
+    let question = a.ask(asked, Millis(4_000), others()).unwrap();
+    assert_eq!((question.incarnation, question.sequence), (7, 1));
+    assert!(question.window_ms >= 8_000);
+    // One is missing.
+    assert_eq!(a.take(Millis(10_010), &answer("b", 7, 1)), Ok(None));
+    // The same once more, somebody unknown, another life of the asker, another round.
+    for (said, why) in [
+        (answer("b", 7, 1), Ignored::NotAwaited),
+        (answer("x", 7, 1), Ignored::NotAwaited),
+        (answer("c", 6, 1), Ignored::OtherIncarnation),
+        (answer("c", 7, 0), Ignored::OtherRound),
+        (answer("c", 7, 2), Ignored::OtherRound),
+    ] {
+        assert_eq!(a.take(Millis(10_010), &said), Err(why));
+    }
+    // One that has started since, or told more than it can name.
+    let short = Answer {
+        complete: false,
+        ..answer("c", 7, 1)
+    };
+    assert_eq!(a.take(Millis(10_020), &short), Err(Ignored::Incomplete));
+    // One that was underway for longer than its window reaches back beyond the horizon.
+    assert_eq!(
+        a.take(Millis(12_100), &answer("c", 7, 1)),
+        Err(Ignored::TooLate)
+    );
+    assert_eq!(a.take(Millis(10_030), &answer("c", 7, 1)), Ok(Some(asked)));
+    // What comes after the round is over proves nothing for the next.
+    assert_eq!(
+        a.take(Millis(10_040), &answer("c", 7, 1)),
+        Err(Ignored::OtherRound)
+    );
+    assert_eq!(a.ask(Millis(10_500), asked, others()), None);
+    let next = a.ask(Millis(11_100), asked, others()).unwrap();
+    assert_eq!(next.sequence, 2);
+    assert_eq!(
+        a.take(Millis(11_200), &answer("b", 7, 1)),
+        Err(Ignored::OtherRound)
+    );
+    // A round that is not answered is asked anew, from the same horizon.
+    assert_eq!(a.ask(Millis(12_500), asked, others()), None);
+    assert_eq!(a.ask(Millis(12_700), asked, others()).unwrap().sequence, 3);
+}
+
+/// Guards against vouching for what an earlier life has told, or for more than is kept.
+#[test]
+fn a_count_that_does_not_reach_back_is_not_complete() {
+    let mut confirmed = Confirmed::default();
+    confirmed.begin(Millis(1_000));
+    let job = |n: usize| JobId::new(&format!("wk-{n:06}"));
+    confirmed.tell(&job(1), Millis(2_000));
+    confirmed.tell(&job(1), Millis(9_000));
+    assert_eq!(confirmed.within(Millis(9_000), 8_000), Some(vec![&job(1)]));
+    assert_eq!(confirmed.within(Millis(9_000), 8_001), None);
+    // Only the first telling counts: the time for its end runs from there.
+    assert_eq!(confirmed.within(Millis(9_000), 6_000), Some(vec![]));
+    for n in 2..10_000 {
+        confirmed.tell(&job(n), Millis(10_000 + n as u64));
+    }
+    assert_eq!(confirmed.within(Millis(20_000), 12_000), None);
+    assert!(confirmed.within(Millis(20_000), 2_000).unwrap().len() >= 2_000);
+}
+
+proptest! {
+    /// Guards against a horizon that is later than something told and not known: controllers tell at drawn
+    /// moments, questions and answers take drawn times, lives end, and after each complete round everything that
+    /// was told before its horizon has been named.
+    #[test]
+    fn everything_told_before_the_horizon_is_known(
+        tells in prop::collection::vec((0..2usize, 0..60_000u64), 0..40),
+        ends in prop::collection::vec((0..2usize, 0..60_000u64), 0..3),
+        hops in prop::collection::vec((0..4_000u64, 0..4_000u64, 0..2u8), 60),
+    ) {
+        let mut asker = Attesting::new(3);
+        let mut horizon = Millis(1_000);
+        let mut known: BTreeSet<JobId> = BTreeSet::new();
+        let job = |n: usize| JobId::new(&format!("wk-{n:06}"));
+        // Told before the first horizon: read from the state service.
+        known.extend(tells.iter().enumerate().filter(|(_, (_, at))| *at < 1_000).map(|(n, _)| job(n)));
+        let mut underway: Vec<(u64, Answer)> = Vec::new();
+        let mut drawn = hops.iter();
+        for now in (1_000..60_000u64).step_by(50) {
+            if let Some(q) = asker.ask(Millis(now), horizon, others())
+                && let Some((to, back, lost)) = drawn.next()
+            {
+                for (m, name) in ["b", "c"].into_iter().enumerate() {
+                    // Mostly prompt.
+                    let at = now + if *lost == 0 { to % 50 } else { *to };
+                    let life = ends.iter().filter(|(who, end)| *who == m && *end <= at).map(|(_, end)| *end).max();
+                    let mut confirmed = Confirmed::default();
+                    confirmed.begin(Millis(life.unwrap_or(0)));
+                    let mut mine: Vec<(u64, usize)> = tells.iter().enumerate()
+                        .filter(|(_, (who, t))| *who == m && *t <= at && life.is_none_or(|l| *t > l))
+                        .map(|(n, (_, t))| (*t, n)).collect();
+                    mine.sort_unstable();
+                    for (t, n) in mine {
+                        confirmed.tell(&job(n), Millis(t));
+                    }
+                    let told = confirmed.within(Millis(at), q.window_ms);
+                    underway.push((at + if *lost == 0 { back % 50 } else { *back }, Answer {
+                        from: Member::new(name),
+                        incarnation: q.incarnation,
+                        sequence: q.sequence,
+                        complete: told.is_some(),
+                        cancelled: told.into_iter().flatten().cloned().collect(),
+                    }));
+                }
+            }
+            let (here, later) = underway.into_iter().partition(|(at, _)| *at <= now);
+            underway = later;
+            for (_, said) in here as Vec<(u64, Answer)> {
+                if let Ok(complete) = asker.take(Millis(now), &said) {
+                    known.extend(said.cancelled);
+                    horizon = complete.unwrap_or(horizon);
+                }
+            }
+            for (n, (_, at)) in tells.iter().enumerate() {
+                prop_assert!(Millis(*at) >= horizon || known.contains(&job(n)), "told at {at}, horizon {horizon:?}");
+            }
+        }
+    }
+
+    #[test]
+    fn drift_only_adds(ms in 0..10_000_000u64) {
+        prop_assert!(with_drift(ms) >= ms + ms / 1_000);
+    }
+}
--- a/crates/model/src/protocol/peer.rs
+++ b/crates/model/src/protocol/peer.rs
@@ -1,8 +1,54 @@
-//! Hints between controllers (prost, length-delimited). No rule depends on them.
+//! Messages between controllers (prost, length-delimited). No rule depends on hints; attestations are proof, and
+//! are messages of their own.
 
 /// Most bytes of one message; whoever gets a longer one ends the connection.
 pub const MAX_FRAME: usize = 64 * 1024;
 
+/// A message that is no hint. Its fields have numbers that hints never use: a controller of an earlier version
+/// reads it as a hint of nobody, and does not answer.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Proof {
+    #[prost(message, optional, tag = "101")]
+    pub request: Option<AttestationRequest>,
+    #[prost(message, optional, tag = "102")]
+    pub attestation: Option<Attestation>,
+}
+
+/// Asks which jobs were confirmed as cancelled to users lately.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct AttestationRequest {
+    /// Who asks, in which life, and for which time.
+    #[prost(string, tag = "1")]
+    pub member: String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// How far back.
+    #[prost(uint64, tag = "4")]
+    pub window_ms: u64,
+}
+
+/// Says which those are.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Attestation {
+    /// Who says it, and in which life.
+    #[prost(string, tag = "1")]
+    pub member: String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// The request that it answers.
+    #[prost(uint64, tag = "3")]
+    pub asker_incarnation: u64,
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
+    /// Whether the list holds all of them.
+    #[prost(bool, tag = "5")]
+    pub complete: bool,
+    #[prost(string, repeated, tag = "6")]
+    pub cancelled: Vec<String>,
+}
+
 /// What a controller tells the others a few times a second.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Hint {
--- a/crates/recovery/src/squaring.rs
+++ b/crates/recovery/src/squaring.rs
@@ -56,6 +56,14 @@
         use Stored::*;
         matches!(self, Here | Ending | Cancelled | CancelledEnding)
     }
+    /// The same if the job turns out to be cancelled.
+    pub fn if_cancelled(self) -> Stored {
+        match self {
+            Stored::Here => Stored::Cancelled,
+            Stored::Ending => Stored::CancelledEnding,
+            other => other,
+        }
+    }
     fn cancelled(self) -> bool {
         matches!(self, Stored::Cancelled | Stored::CancelledEnding)
     }
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -18,8 +18,8 @@
 use snowshelf::outbox::{CallResult, Input, Method, Output, Request, Target};
 use snowshelf::settings::Settings;
 use snowshelf_drain::budget::Budget;
-use snowshelf_model::ids::{CallId, ConnId, Millis};
-use snowshelf_model::protocol::peer::Hint;
+use snowshelf_model::ids::{CallId, ConnId, Member, Millis};
+use snowshelf_model::protocol::peer::{Hint, Proof};
 use state::StateService;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
@@ -116,6 +116,7 @@
     },
     Answer(usize, u64, CallId, CallResult),
     HintFor(usize, Hint),
+    ProofFor(usize, Proof),
     Crash(usize),
     /// Killed, to come back as the new version.
     Replace(usize),
@@ -453,6 +454,18 @@
         self.at(until, Event::Deaf(node, false));
     }
 
+    /// Has the state service refuse a controller, and no other.
+    pub fn refuse_at(&mut self, from: u64, until: u64, node: usize) {
+        self.at(from, Event::Refuse(node, true));
+        self.at(until, Event::Refuse(node, false));
+    }
+
+    /// Cuts a controller off from the others.
+    pub fn mute_at(&mut self, from: u64, until: u64, node: usize) {
+        self.at(from, Event::Mute(node, true));
+        self.at(until, Event::Mute(node, false));
+    }
+
     /// Cuts a controller off from everything and everybody.
     pub fn away_at(&mut self, from: u64, until: u64, node: usize) {
         self.deaf_at(from, until, node);
@@ -672,16 +685,23 @@
                     }
                 }
                 Output::Hint(member, hint) => {
-                    let to = member.as_str()[1..].parse().unwrap_or(0);
-                    let ms = self.hop();
-                    if !self.mute.contains(&i) && !self.mute.contains(&to) {
-                        self.after(ms, Event::HintFor(to, hint));
-                    }
+                    self.to_peer(i, &member, |to| Event::HintFor(to, hint))
+                }
+                Output::Proof(member, proof) => {
+                    self.to_peer(i, &member, |to| Event::ProofFor(to, proof))
                 }
             }
         }
     }
 
+    fn to_peer(&mut self, from: usize, member: &Member, event: impl FnOnce(usize) -> Event) {
+        let to = member.as_str()[1..].parse().unwrap_or(0);
+        let ms = self.hop();
+        if !self.mute.contains(&from) && !self.mute.contains(&to) {
+            self.after(ms, event(to));
+        }
+    }
+
     fn ask(&mut self, node: usize, method: &str, path: &str, body: Vec<u8>, asked: Asked) -> bool {
         if self.nodes[node].controller.is_none() {
             return false;
@@ -756,6 +776,7 @@
                 }
             }
             Event::HintFor(i, hint) => self.feed(i, Input::Hint(hint)),
+            Event::ProofFor(i, proof) => self.feed(i, Input::Proof(proof)),
             Event::Crash(i) => {
                 if self.nodes[i].controller.is_none() {
                     return;
--- a/src/coordination/controller/answers.rs
+++ b/src/coordination/controller/answers.rs
@@ -257,6 +257,9 @@
         let changed = take(&mut reader, &mut self.env());
         self.reader = reader;
         self.changed(changed);
+        if let Some(at) = self.reader.current_as_of {
+            self.read_as_of(at);
+        }
         let mut reader = std::mem::take(&mut self.reader);
         reader.tick(&mut self.env());
         self.reader = reader;
--- /dev/null
+++ b/src/coordination/controller/horizon.rs
@@ -0,0 +1,161 @@
+//! For how long this controller keeps workers while it cannot learn what users are told: its knowledge horizon,
+//! and the rounds in which the others say what they have confirmed.
+
+use super::{Controller, UNSERVED_MS};
+use crate::outbox::Output;
+use snowshelf_horizon::attesting::Answer;
+use snowshelf_horizon::{Picture, may_answer};
+use snowshelf_model::ids::{JobId, Member, Millis, PartId};
+use snowshelf_model::protocol::peer::{Attestation, AttestationRequest, Proof};
+use std::collections::BTreeSet;
+
+/// Most jobs named in one attestation, so that it stays within its frame; beyond that it is incomplete.
+const MOST_NAMED: usize = 2_000;
+
+impl Controller {
+    /// Whether this controller may answer a worker of a part that it holds, whose report came at `received`.
+    pub(super) fn may_answer(&self, part: PartId, received: Millis) -> bool {
+        // Where the state service serves hardly anybody, nobody can have taken the part. That is a hint: it only
+        // says that answering is of use. That it breaks no rule follows from the horizon.
+        let serves = self.own.fresh(self.out.now) || (self.own.lease.is_some() && self.outage());
+        let picture = self.shards.get(&part).map(|shard| match shard.ready {
+            true => Picture::Read(self.horizon.at()),
+            false => Picture::Taken(shard.taken),
+        });
+        let answering_ms = self.cfg.settings.answering_ms();
+        serves && picture.is_some_and(|p| may_answer(p, received, answering_ms))
+    }
+
+    /// Asks the others what they have confirmed while the state service does not say it.
+    pub(super) fn tick_horizon(&mut self) {
+        let now = self.out.now;
+        self.tell_of_horizon();
+        let Some(at) = self.horizon.at() else { return };
+        if self.shards.is_empty() || self.state_silent_ms() < UNSERVED_MS {
+            return;
+        }
+        let others: BTreeSet<Member> = self.others().cloned().collect();
+        if others.is_empty() {
+            // Nobody else tells users anything.
+            self.horizon.attest(now);
+            return;
+        }
+        let Some(question) = self.attesting.ask(now, at, others) else {
+            return;
+        };
+        let request = AttestationRequest {
+            member: self.cfg.me.as_str().to_string(),
+            incarnation: question.incarnation,
+            sequence: question.sequence,
+            window_ms: question.window_ms,
+        };
+        for member in self.others().cloned().collect::<Vec<_>>() {
+            let proof = Proof {
+                request: Some(request.clone()),
+                attestation: None,
+            };
+            self.out.outputs.push(Output::Proof(member, proof));
+        }
+    }
+
+    fn others(&self) -> impl Iterator<Item = &Member> + '_ {
+        self.cfg.members.iter().filter(|m| **m != self.cfg.me)
+    }
+
+    /// One line for operators when workers are let go, and when they are answered again.
+    fn tell_of_horizon(&mut self) {
+        let now = self.out.now;
+        let answering_ms = self.cfg.settings.answering_ms();
+        let lets_go = self
+            .horizon
+            .at()
+            .is_some_and(|at| !may_answer(Picture::Read(Some(at)), now, answering_ms));
+        if lets_go != self.lets_go {
+            self.lets_go = lets_go;
+            let behind_ms = self.horizon.at().map(|at| now.since(at));
+            match lets_go {
+                true => tracing::info!(
+                    behind_ms,
+                    "answers no workers: it is not known what users were told since"
+                ),
+                false => tracing::info!(behind_ms, "answers workers again"),
+            }
+        }
+    }
+
+    /// The mirror is current as of a new moment.
+    pub(super) fn read_as_of(&mut self, at: Millis) {
+        self.horizon.read(at);
+        // What was said before that is in the mirror if it is true.
+        self.attested.retain(|_, said| *said >= at);
+    }
+
+    /// A message that is no hint, of another controller.
+    pub(super) fn proof(&mut self, proof: Proof) {
+        if let Some(request) = proof.request {
+            self.attest(&request);
+        }
+        if let Some(attestation) = proof.attestation {
+            self.attested(attestation);
+        }
+    }
+
+    fn attest(&mut self, request: &AttestationRequest) {
+        let asker = Member::new(&request.member);
+        if !self.others().any(|m| *m == asker) {
+            tracing::info!(member = %asker, "asked for an attestation by nobody known");
+            return;
+        }
+        let told = self
+            .gateway
+            .confirmed
+            .within(self.out.now, request.window_ms);
+        let told = told.filter(|jobs| jobs.len() <= MOST_NAMED);
+        let complete = told.is_some();
+        let cancelled = told.into_iter().flatten();
+        let attestation = Attestation {
+            member: self.cfg.me.as_str().to_string(),
+            incarnation: self.attesting.incarnation(),
+            asker_incarnation: request.incarnation,
+            sequence: request.sequence,
+            complete,
+            cancelled: cancelled.map(|job| job.as_str().to_string()).collect(),
+        };
+        let proof = Proof {
+            request: None,
+            attestation: Some(attestation),
+        };
+        self.out.outputs.push(Output::Proof(asker, proof));
+    }
+
+    fn attested(&mut self, attestation: Attestation) {
+        let now = self.out.now;
+        let answer = Answer {
+            from: Member::new(&attestation.member),
+            incarnation: attestation.asker_incarnation,
+            sequence: attestation.sequence,
+            complete: attestation.complete,
+            cancelled: attestation
+                .cancelled
+                .iter()
+                .map(|j| JobId::new(j))
+                .collect(),
+        };
+        match self.attesting.take(now, &answer) {
+            Err(why) => {
+                tracing::info!(member = %answer.from, sequence = answer.sequence, ?why, "an attestation proves nothing");
+            }
+            Ok(complete) => {
+                // Halted at once, whether or not the others have answered yet.
+                for job in answer.cancelled {
+                    if self.attested.insert(job.clone(), now).is_none() {
+                        tracing::info!(job = %job, by = %answer.from, "cancelled, as another controller has told its user");
+                    }
+                }
+                if let Some(asked) = complete {
+                    self.horizon.attest(asked);
+                }
+            }
+        }
+    }
+}
--- a/src/coordination/controller/mod.rs
+++ b/src/coordination/controller/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod draining;
+mod horizon;
 mod regular;
 mod requests;
 
@@ -25,7 +26,9 @@
 use crate::settings::Settings;
 use snowshelf_calendar::guard::Guard;
 use snowshelf_doors::doors::Told;
-use snowshelf_model::ids::{ConnId, Member, Millis, PartId};
+use snowshelf_horizon::Horizon;
+use snowshelf_horizon::attesting::Attesting;
+use snowshelf_model::ids::{ConnId, JobId, Member, Millis, PartId};
 use snowshelf_model::protocol::cloud::MachineType;
 use snowshelf_model::protocol::worker::Report;
 use snowshelf_model::records::{Format, Terms};
@@ -96,6 +99,14 @@
     graph_of: u64,
     graph_at: Millis,
     looked_up: Millis,
+    /// Up to when it is known what users were told, by the state service or by all others.
+    horizon: Horizon,
+    /// Set with the first input, which tells the time of day: lives differ by that.
+    attesting: Attesting,
+    /// Jobs that others have said to have confirmed as cancelled, and when they said so.
+    attested: BTreeMap<JobId, Millis>,
+    /// Workers are not answered for want of knowledge.
+    lets_go: bool,
 }
 
 impl Controller {
@@ -126,7 +137,7 @@
             own: Ownership::default(),
             reader: Reader::default(),
             shards: BTreeMap::new(),
-            gateway: Gateway::default(),
+            gateway: Gateway::begun(now),
             bookings: Bookings::default(),
             runs: Runs::default(),
             drains: Drains::default(),
@@ -151,6 +162,10 @@
             graph_of: 0,
             graph_at: Millis(0),
             looked_up: Millis(0),
+            horizon: Horizon::default(),
+            attesting: Attesting::new(0),
+            attested: BTreeMap::new(),
+            lets_go: false,
         }
     }
 
@@ -158,10 +173,14 @@
     pub fn handle(&mut self, input: Input, now: Millis, wall_ms: u64) -> Vec<Output> {
         self.out.now = now;
         self.out.wall_ms = wall_ms;
+        if self.attesting.incarnation() == 0 {
+            self.attesting = Attesting::new(wall_ms.max(1));
+        }
         match input {
             Input::Request(conn, request) => self.request(conn, request),
             Input::CallDone(id, result) => self.call_done(id, &result),
             Input::Hint(hint) => self.peers.take(now, hint, &self.cfg),
+            Input::Proof(proof) => self.proof(proof),
             Input::Doors(told) => self.doors = told,
             Input::Tick => self.tick(),
         }
@@ -181,6 +200,8 @@
             graph: &self.graph,
             guard: &self.guard,
             drains: &mut self.draining,
+            horizon: self.horizon.at(),
+            attested: &self.attested,
         }
     }
 
@@ -189,16 +210,6 @@
         self.out.now.since(last)
     }
 
-    /// Whether this controller may answer workers for a part that it holds.
-    fn may_answer(&self) -> bool {
-        if self.own.fresh(self.out.now) {
-            return true;
-        }
-        // The state service serves hardly anybody: nobody can have taken the part, so the workers'
-        // leases are kept up. If it serves the others, one of them takes over.
-        self.own.lease.is_some() && self.outage()
-    }
-
     fn outage(&self) -> bool {
         let unserved = self.peers.unserved(self.out.now, UNSERVED_MS);
         self.state_silent_ms() >= UNSERVED_MS && 2 * unserved > self.cfg.members.len()
--- a/src/coordination/controller/regular.rs
+++ b/src/coordination/controller/regular.rs
@@ -51,13 +51,14 @@
         let short: BTreeSet<Team> = self.peers.short_of(now);
         let mut missing = self.peers.missing(now);
         missing.extend(self.fleet.iter().flat_map(|f| f.missing.keys().cloned()));
-        let answers = self.may_answer();
         if !self.guard.holds.is_empty() && now.since(self.pools_at) >= HINT_MS {
             self.pools_at = now;
             self.share_pools();
         }
         let parts: Vec<PartId> = self.shards.keys().copied().collect();
+        self.tick_horizon();
         for part in parts {
+            let answers = self.may_answer(part, now);
             self.with_shard(part, |shard, env| {
                 shard.tick(fresh, &short, &missing, env);
                 if !answers {
--- a/src/coordination/controller/requests.rs
+++ b/src/coordination/controller/requests.rs
@@ -204,7 +204,7 @@
         let part = part_of(report.machine.as_str(), self.cfg.parts);
         let held = self.own.token(part).is_some() && self.shards.contains_key(&part);
         self.hearing.heard(&report, held, part, now);
-        if held && self.may_answer() {
+        if held && self.may_answer(part, since) {
             self.with_shard(part, |shard, env| shard.check_in(conn, report, env));
             return;
         }
--- a/src/coordination/env.rs
+++ b/src/coordination/env.rs
@@ -165,6 +165,10 @@
     pub graph: &'a Graph,
     pub guard: &'a Guard,
     pub drains: &'a mut Draining,
+    /// Up to when it is known here what users were told.
+    pub horizon: Option<Millis>,
+    /// Jobs that another controller has confirmed as cancelled, beside what the mirror knows.
+    pub attested: &'a BTreeMap<JobId, Millis>,
 }
 
 impl Env<'_> {
--- a/src/coordination/gateway/accepting.rs
+++ b/src/coordination/gateway/accepting.rs
@@ -155,6 +155,9 @@
                         tasks = accept.spec.tasks, needs = accept.needs.len(), "accepted");
                     let end = env.mirror.final_of(&accept.job);
                     let state = end.map_or(JobState::Open, |end| end.state);
+                    if state == JobState::Cancelled {
+                        self.confirmed.tell(&accept.job, env.now());
+                    }
                     let body = user::brief(&accept.job, user::state_word(state, 0));
                     for conn in accept.conns {
                         env.out.respond(conn, Response::new(201, body.clone()));
--- a/src/coordination/gateway/mod.rs
+++ b/src/coordination/gateway/mod.rs
@@ -12,6 +12,7 @@
 
 use super::env::ReadFor;
 use super::peers::PartRoom;
+use snowshelf_horizon::confirmed::Confirmed;
 use snowshelf_model::ids::{ConnId, JobId, Millis, PartId, Team};
 use snowshelf_model::records::JobSpec;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -80,4 +81,15 @@
     pub kept: BTreeMap<(PartId, Team), f64>,
     /// CPUs lately given to parts, which these do not tell of yet.
     given: VecDeque<(Millis, PartId, f64)>,
+    /// What users have been told here to be cancelled.
+    pub confirmed: Confirmed,
+}
+
+impl Gateway {
+    /// A gateway whose process begins at `now`.
+    pub fn begun(now: Millis) -> Gateway {
+        let mut gateway = Gateway::default();
+        gateway.confirmed.begin(now);
+        gateway
+    }
 }
--- a/src/coordination/gateway/reading.rs
+++ b/src/coordination/gateway/reading.rs
@@ -6,6 +6,7 @@
 use crate::coordination::env::{Env, ReadFor, Tag};
 use crate::outbox::Response;
 use serde::Deserialize;
+use snowshelf_horizon::{Picture, may_answer};
 use snowshelf_model::ids::{ConnId, JobId, Millis};
 use snowshelf_model::protocol::state::{Change, Txn};
 use snowshelf_model::protocol::user;
@@ -16,6 +17,15 @@
 const POLLS_GATHER_MS: u64 = 25;
 const POLLS_MS: u64 = 1_500;
 
+/// Why a job that needs others is not told of.
+pub(super) const UNKNOWN_NEEDS: &str = "not known yet what became of the jobs that it needs";
+
+/// Whether this controller knows what users were told, but for the last moments.
+pub(super) fn knows_confirmed(env: &Env) -> bool {
+    let answering_ms = env.cfg.settings.answering_ms();
+    may_answer(Picture::Read(env.horizon), env.now(), answering_ms)
+}
+
 impl Gateway {
     pub fn read(&mut self, conn: ConnId, job: &JobId, why: ReadFor, env: &mut Env) {
         if let Some(end) = env.mirror.final_of(job) {
@@ -124,6 +134,14 @@
         why: ReadFor,
         env: &mut Env,
     ) {
+        // Guards against calling a job open whose need another controller has confirmed as cancelled over
+        // `cancel_s` ago, while this one could not learn it.
+        let waits = !record.needs.is_empty() || record.needs_pieces > 0;
+        if waits && !knows_confirmed(env) {
+            let later = Response::later(503, UNKNOWN_NEEDS, 1);
+            env.out.respond(conn, later);
+            return;
+        }
         let (done, running) = env.mirror.counts(job, &record.parts, record.tasks);
         let word = user::state_word(record.state, running);
         let body = match why {
@@ -141,6 +159,9 @@
         why: ReadFor,
         env: &mut Env,
     ) {
+        if end.state == JobState::Cancelled {
+            self.confirmed.tell(job, env.now());
+        }
         let word = user::state_word(end.state, 0);
         let body = match why {
             ReadFor::Poll => {
--- a/src/coordination/gateway/submitting.rs
+++ b/src/coordination/gateway/submitting.rs
@@ -1,5 +1,6 @@
 //! A submission until it waits to be written: what is wrong with it, known of it, needed by it.
 
+use super::reading::{UNKNOWN_NEEDS, knows_confirmed};
 use super::{Accept, Gateway};
 use crate::bookkeeping::store::{Class, GetResult};
 use crate::coordination::env::{Env, ReadFor, Tag};
@@ -29,8 +30,7 @@
             }
         };
         if let Some(end) = env.mirror.final_of(&job) {
-            let body = user::brief(&job, user::state_word(end.state, 0));
-            env.out.respond(conn, Response::new(200, body));
+            self.tell_final(conn, &job, end, ReadFor::Resubmit, env);
             return;
         }
         if env.types.is_empty() || !env.mirror.shares_read {
@@ -53,6 +53,12 @@
             env.out.respond(conn, later);
             return;
         }
+        if !known && !needs.is_empty() && !knows_confirmed(env) {
+            // What it needs may have been cancelled long ago.
+            let later = Response::later(503, UNKNOWN_NEEDS, 1);
+            env.out.respond(conn, later);
+            return;
+        }
         if let Some(same) = self.waiting().find(|a| a.job == job) {
             same.conns.push(conn);
             return;
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -35,6 +35,8 @@
     /// What is open is known; ended jobs are still read.
     open_known: bool,
     items: u64,
+    /// When the request for its first page was sent.
+    began: Millis,
 }
 
 /// One of the two lines of requests, each with at most one underway.
@@ -67,6 +69,10 @@
     page_round: u64,
     /// When the change feed last answered, with a mirror that had been read.
     pub feed_at: Millis,
+    /// When the feed's open request was sent.
+    feed_sent: Millis,
+    /// The mirror holds every change up to then: when the newest request was sent whose answer left no gap.
+    pub current_as_of: Option<Millis>,
 }
 
 impl Reader {
@@ -105,6 +111,9 @@
             };
             if env.store.may(now, class, 0) {
                 self.pages.busy = true;
+                if reading.followed.is_none() {
+                    reading.began = now;
+                }
                 self.page_round = self.round;
                 match (&ask, reading.followed) {
                     (Ask::LookBack { revisions }, Some(from)) => {
@@ -137,8 +146,10 @@
             self.feed.busy = true;
             self.feed.next_at = now.plus(FEED_GAP_MS);
             self.feed_round = self.round;
-            env.store
-                .changes(env.out, Tag::Watch, "", from, FEED_WAIT_MS);
+            self.feed_sent = now;
+            // Asked often enough that an owner's knowledge is never old.
+            let wait_ms = FEED_WAIT_MS.min((env.cfg.settings.answering_ms() / 4).max(FEED_GAP_MS));
+            env.store.changes(env.out, Tag::Watch, "", from, wait_ms);
         }
     }
 
@@ -261,6 +272,7 @@
                 "what is open has been read"
             );
             env.mirror.open_read(revision);
+            self.current_as_of = self.current_as_of.max(Some(reading.began));
         }
         if stage == Stage::Over {
             env.mirror.end_reading();
@@ -296,6 +308,7 @@
                     Some(reading) => reading.followed.get_or_insert(changes.revision),
                     None => {
                         self.feed_at = now;
+                        self.current_as_of = self.current_as_of.max(Some(self.feed_sent));
                         &mut env.mirror.revision
                     }
                 };
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -39,7 +39,7 @@
     pub token: Token,
     pub ready: bool,
     pub deposed: bool,
-    taken: Millis,
+    pub taken: Millis,
     jobs: BTreeMap<JobId, ShardJob>,
     machines: BTreeMap<MachineId, Machine>,
     /// Jobs with started tasks in their view, by machine.
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -419,7 +419,11 @@
                     Some(_) => Leaving::Drained,
                 },
             };
-            let stored = Self::stored(job, name, task.task, attempt);
+            let mut stored = Self::stored(job, name, task.task, attempt);
+            // Halted, and not commanded any more, whoever says so. Written it is only once the mirror shows it.
+            if env.attested.contains_key(&task.job) {
+                stored = stored.if_cancelled();
+            }
             let nature = Self::nature(spec);
             let cell = square(stored, reported, Evidence::PLAIN, leaving, nature);
             commands.extend(cell.order.map(|order| match order {
--- a/src/outbox.rs
+++ b/src/outbox.rs
@@ -4,7 +4,7 @@
 use rand::{RngExt, SeedableRng};
 use snowshelf_doors::doors::Told;
 use snowshelf_model::ids::{CallId, ConnId, Member, Millis};
-use snowshelf_model::protocol::peer::Hint;
+use snowshelf_model::protocol::peer::{Hint, Proof};
 use std::net::SocketAddrV4;
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -77,6 +77,8 @@
     Request(ConnId, Request),
     CallDone(CallId, CallResult),
     Hint(Hint),
+    /// A message of another controller that rules depend on.
+    Proof(Proof),
     /// How full it is at this controller's doors.
     Doors(Told),
     Tick,
@@ -94,6 +96,7 @@
         timeout_ms: u64,
     },
     Hint(Member, Hint),
+    Proof(Member, Proof),
 }
 
 /// Collects outputs while an input is worked on.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -261,6 +261,12 @@
         seconds_to_ms(self.deployment.workers.lease_s)
     }
 
+    /// How long after it last knew what users were told a controller may answer workers.
+    pub fn answering_ms(&self) -> u64 {
+        let cancel_ms = seconds_to_ms(self.deployment.workers.cancel_s);
+        snowshelf_horizon::answering_ms(cancel_ms, self.lease_ms())
+    }
+
     pub fn report_ms(&self) -> u64 {
         seconds_to_ms(self.deployment.workers.report_s)
     }
--- a/src/transport/net/mod.rs
+++ b/src/transport/net/mod.rs
@@ -179,7 +179,8 @@
                 self.queued.entry(target).or_default().push_back(id);
                 self.start_calls(target);
             }
-            Output::Hint(member, hint) => self.send_hint(&member, &hint, now),
+            Output::Hint(member, hint) => self.send_peer(&member, &hint, now),
+            Output::Proof(member, proof) => self.send_peer(&member, &proof, now),
         }
     }
 
--- a/src/transport/net/peers.rs
+++ b/src/transport/net/peers.rs
@@ -6,7 +6,7 @@
 use calloop::RegistrationToken;
 use prost::Message;
 use snowshelf_model::ids::{Member, Millis};
-use snowshelf_model::protocol::peer::{Hint, MAX_FRAME};
+use snowshelf_model::protocol::peer::{Hint, MAX_FRAME, Proof};
 use std::net::{SocketAddrV4, TcpListener};
 
 /// Peer messages are not gathered beyond this: they are only hints.
@@ -65,7 +65,7 @@
         };
         peer.active = now;
         let end = peer.socket.fill(2 * MAX_FRAME);
-        let mut hints = Vec::new();
+        let mut inputs = Vec::new();
         let mut sound = end == ReadEnd::Open;
         loop {
             let input = &mut peer.socket.input;
@@ -83,9 +83,11 @@
                 break;
             }
             let used = input.len() - view.len() + size;
-            match Hint::decode(&view[..size]) {
-                Ok(hint) => hints.push(hint),
-                Err(error) => {
+            let frame = &view[..size];
+            match (Proof::decode(frame), Hint::decode(frame)) {
+                (Ok(proof), _) if proof != Proof::default() => inputs.push(Input::Proof(proof)),
+                (_, Ok(hint)) => inputs.push(Input::Hint(hint)),
+                (_, Err(error)) => {
                     tracing::info!(%error, "odd message from a peer");
                     sound = false;
                 }
@@ -95,8 +97,8 @@
         if !sound {
             self.drop_peer_in(id);
         }
-        for hint in hints {
-            self.feed(Input::Hint(hint));
+        for input in inputs {
+            self.feed(input);
         }
     }
 
@@ -106,7 +108,7 @@
         }
     }
 
-    pub(super) fn send_hint(&mut self, member: &Member, hint: &Hint, now: Millis) {
+    pub(super) fn send_peer(&mut self, member: &Member, message: &impl Message, now: Millis) {
         let Some(out) = self.peers_out.get_mut(member) else {
             return;
         };
@@ -140,7 +142,7 @@
         if !socket.connecting {
             socket
                 .output
-                .extend_from_slice(&hint.encode_length_delimited_to_vec());
+                .extend_from_slice(&message.encode_length_delimited_to_vec());
             if !socket.drain()
                 && let Some((_, _, token)) = out.socket.take()
             {
