--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -685,16 +685,16 @@
                     }
                 }
                 Output::Hint(member, hint) => {
-                    self.to_peer(i, &member, |to| Event::HintFor(to, hint))
+                    self.send_to_peer(i, &member, |to| Event::HintFor(to, hint))
                 }
                 Output::Proof(member, proof) => {
-                    self.to_peer(i, &member, |to| Event::ProofFor(to, proof))
+                    self.send_to_peer(i, &member, |to| Event::ProofFor(to, proof))
                 }
             }
         }
     }
 
-    fn to_peer(&mut self, from: usize, member: &Member, event: impl FnOnce(usize) -> Event) {
+    fn send_to_peer(&mut self, from: usize, member: &Member, event: impl FnOnce(usize) -> Event) {
         let to = member.as_str()[1..].parse().unwrap_or(0);
         let ms = self.hop();
         if !self.mute.contains(&from) && !self.mute.contains(&to) {
