--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -81,6 +81,8 @@
         let member = Member::new(&hint.member);
         if cfg.members.contains(&member) && member != cfg.me {
             self.heard.insert(member, (now, hint));
+        } else {
+            tracing::info!(member = %member, "a hint of nobody known");
         }
     }
 
