--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -96,6 +96,21 @@
     }
 }
 
+/// Guards against a change of owners that an outage interrupts at any moment: the one before was refused and had not
+/// learnt of cancellations.
+#[test]
+fn an_outage_that_begins_while_a_part_is_taken() {
+    for step in 0..14 {
+        let mut world = endless_jobs(step, 12, |n| {
+            (n % 4 != 0).then_some(58_000 + 300 * n as u64)
+        });
+        world.crash_at(60_000, step as usize % NODES);
+        world.outage_at(60_100 + 400 * step, 135_000);
+        world.run(200_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "step {step}");
+    }
+}
+
 /// All troubles are over by then, and all users must have heard the end by the second moment.
 const OVER_MS: u64 = 140_000;
 const END_MS: u64 = 600_000;
--- a/tests/reading.rs
+++ b/tests/reading.rs
@@ -310,6 +310,25 @@
     }
 }
 
+/// Guards against an owner that keeps workers for ever though it hears no feed: what was cancelled since is unknown, and
+/// its tasks would outlive the time for cancelling.
+#[test]
+fn workers_are_let_go_by_an_owner_that_hears_nothing_new() {
+    let _alone = ALONE.lock();
+    let mut play = Play::new(History::new(1_000, true));
+    let settings = Settings::parse(SETTINGS).unwrap();
+    let answering_ms = settings.answering_ms();
+    assert!(answering_ms > 5_000, "{answering_ms}");
+    assert!(play.play(2_000, false).answer.is_some());
+    assert_eq!(play.sent_away, 0);
+    play.play(answering_ms, false);
+    let away = play.sent_away;
+    let answered = play.play(10_000, false).answer;
+    assert_eq!((answered, play.sent_away), (None, away + 20));
+    // News come again.
+    assert!(play.play(10_000, true).answer.is_some());
+}
+
 /// Guards against a reading that holds the keys of all that ever was (116 MB for a million ended jobs,
 /// more than a controller may take), and against one that is over only when the feed can no longer
 /// be followed from where it began, and so begins again for ever. The whole is read only while a
