An answer underway while the job ended is not told after its end

Cause: a repeated submission and a cancellation of one job cross at one controller. The key is read for the first, the cancellation is written and told, then the read's answer comes: the mirror keeps the newer record, and the user was told of the older one ("running" after "aborted"). Ruled out: the mirror's order (it holds the newer record), polls (they compare versions and then tell what the mirror holds by then). Change: what the mirror knows of a job's end goes before what was read.

--- a/src/coordination/gateway/reading.rs
+++ b/src/coordination/gateway/reading.rs
@@ -6,7 +6,7 @@
 use crate::coordination::env::{Env, ReadFor, Tag};
 use crate::outbox::Response;
 use serde::Deserialize;
-use snowshelf_horizon::{Picture, may_answer};
+use snowshelf_horizon::renewal::known;
 use snowshelf_model::ids::{ConnId, JobId, Millis};
 use snowshelf_model::protocol::state::{Change, Txn};
 use snowshelf_model::protocol::user;
@@ -23,7 +23,7 @@
 /// Whether this controller knows what users were told, but for the last moments.
 pub(super) fn knows_confirmed(env: &Env) -> bool {
     let answering_ms = env.cfg.settings.answering_ms();
-    may_answer(Picture::Read(env.horizon), env.now(), answering_ms)
+    known(env.horizon, env.now(), answering_ms)
 }
 
 impl Gateway {
@@ -210,8 +210,9 @@
             return;
         };
         env.mirror.apply(&item.key, Some(&item.value), item.version);
-        if record.is_final() {
-            let end = Final::of(&record);
+        // Guards against an answer that was underway while the job ended, and while its user was told so here.
+        let ended = env.mirror.final_of(job);
+        if let Some(end) = ended.or(record.is_final().then(|| Final::of(&record))) {
             self.tell_final(conn, job, end, why, env);
             return;
         }
