Leases are renewed by one function, which halts what is cancelled

An owner's first answer, before the machine has shown its token, and its answers before the picture was read renewed the lease and halted nothing, though the job was known to be cancelled; so did the answer to a report that came late. And an owner that had read nothing answered for half of the time that cancelling leaves: one after the other they kept a task none of them knew to be cancelled. Ruled out: a late command, a lost halt, old hints (the horizon holds). Change: `horizon::renewal` alone gives leave for an answer, and every answer carries the halts that it names. Before all has been read a report is answered once each job that it lists has been read since this process began; until then the worker waits, and the job is read by itself. Nothing is stored for it. What was committed is first commanded only while the horizon is younger than 6 s. The answer to a request that its worker has given up is a 421, not a 200.

The world's workers count a higher token as news at most once in half of a lease, as PROTOCOL says, and controllers may come back after a time that is said. In reading.rs one of two controllers hears nothing, as one that is alone confirms all there is to confirm and so knows it; jobs are served there by their key.

--- a/crates/horizon/src/lib.rs
+++ b/crates/horizon/src/lib.rs
@@ -3,10 +3,12 @@
 //!
 //! An answer lets a worker's tasks live for another lease, counted from when the report was sent. So a task
 //! whose cancellation this controller does not know is gone in time if no answer is given to a report that
-//! came later than the horizon and what `cancel_s` leaves beside a lease.
+//! came later than the horizon and what `cancel_s` leaves beside a lease, and every answer halts what is known
+//! to be cancelled ([`renewal::renewal`]).
 
 pub mod attesting;
 pub mod confirmed;
+pub mod renewal;
 
 use snowshelf_model::ids::Millis;
 
@@ -51,22 +53,3 @@
         self.attested = self.attested.max(Some(asked));
     }
 }
-
-/// What the owner of a part bases its answers on.
-#[derive(Clone, Copy, Debug)]
-pub enum Picture {
-    /// The records as of the controller's horizon.
-    Read(Option<Millis>),
-    /// Nothing has been read since the part was taken then. Its predecessor kept the workers up to that moment
-    /// by what it knew.
-    Taken(Millis),
-}
-
-/// Whether a report that came at `received` may be answered, so that its worker goes on for a lease.
-pub fn may_answer(picture: Picture, received: Millis, answering_ms: u64) -> bool {
-    match picture {
-        Picture::Read(horizon) => horizon.is_some_and(|h| received <= h.plus(answering_ms)),
-        // Half, as the predecessor may have been behind itself.
-        Picture::Taken(at) => received <= at.plus(answering_ms / 2),
-    }
-}
--- a/crates/horizon/tests/horizon.rs
+++ b/crates/horizon/tests/horizon.rs
@@ -3,7 +3,8 @@
 use proptest::prelude::*;
 use snowshelf_horizon::attesting::{Answer, Attesting, Ignored};
 use snowshelf_horizon::confirmed::Confirmed;
-use snowshelf_horizon::{Horizon, Picture, answering_ms, may_answer, with_drift};
+use snowshelf_horizon::renewal::{Basis, Known, Refusal, known, may_begin, renewal};
+use snowshelf_horizon::{Horizon, answering_ms, with_drift};
 use snowshelf_model::ids::{JobId, Member, Millis};
 use std::collections::BTreeSet;
 
@@ -35,11 +36,15 @@
     // No room beside a lease: the safe side.
     assert_eq!(answering_ms(9_000, 10_000), 0);
     let at = Some(Millis(5));
-    assert!(may_answer(Picture::Read(at), Millis(105), 100));
-    assert!(!may_answer(Picture::Read(at), Millis(106), 100));
-    assert!(!may_answer(Picture::Read(None), Millis(5), 100));
-    assert!(may_answer(Picture::Taken(Millis(5)), Millis(55), 100));
-    assert!(!may_answer(Picture::Taken(Millis(5)), Millis(56), 100));
+    assert!(known(at, Millis(105), 100));
+    assert!(!known(at, Millis(106), 100));
+    assert!(!known(None, Millis(5), 100));
+    let idle = |basis, received| renewal::<u32>(basis, Millis(received), 100, [].into_iter());
+    for (basis, latest) in [(Basis::Read(at), 105), (Basis::Reading(Millis(5)), 105)] {
+        assert!(idle(basis, latest).is_ok());
+        assert_eq!(idle(basis, latest + 1), Err(Refusal::Behind));
+    }
+    assert_eq!(idle(Basis::Read(None), 5), Err(Refusal::Behind));
     // Neither source takes the horizon back.
     let mut horizon = Horizon::default();
     horizon.attest(Millis(9));
@@ -51,6 +56,25 @@
     );
 }
 
+/// Guards against an answer that renews the lease of a task that is known to be cancelled and says nothing of it, and
+/// against one given before the jobs that the report lists have been read.
+#[test]
+fn an_answer_halts_what_is_cancelled_and_waits_for_what_is_unread() {
+    use Known::*;
+    let ask = |basis, listed: &[Known]| {
+        let listed = listed.iter().copied().enumerate();
+        renewal(basis, Millis(50), 100, listed).map(|r| r.into_halts())
+    };
+    for basis in [Basis::Read(Some(Millis(5))), Basis::Reading(Millis(5))] {
+        assert_eq!(ask(basis, &[Open, Open]), Ok(vec![]));
+        assert_eq!(ask(basis, &[Cancelled, Open, Cancelled]), Ok(vec![0, 2]));
+        assert_eq!(ask(basis, &[Cancelled, Unread]), Err(Refusal::Unread));
+    }
+    assert!(may_begin(Some(Millis(5)), Millis(6_005)));
+    assert!(!may_begin(Some(Millis(5)), Millis(6_020)));
+    assert!(!may_begin(None, Millis(5)));
+}
+
 /// Guards against a horizon moved by words that do not prove it: each thing that can be missing.
 #[test]
 fn a_round_proves_nothing_unless_everybody_has_answered_it_in_full() {
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -60,7 +60,7 @@
     pub false_returns: bool,
     /// Workers obey whatever token.
     pub no_tokens: bool,
-    /// Late copies of reports carry a counter that makes them the newest.
+    /// Late copies of reports carry a session and a counter that make them the newest.
     pub no_order: bool,
     /// Submissions lose the jobs that they need on their way.
     pub no_needs: bool,
@@ -225,6 +225,8 @@
     /// How much longer a job's second and third task run than the one before; the others like these.
     pub spread_ms: u64,
     quiet_at: u64,
+    /// For how long a controller that has ended is away; drawn each time where it is not said.
+    pub back_ms: Option<u64>,
 }
 
 /// Puts a controller among those that something ails, or takes it out.
@@ -325,6 +327,7 @@
             ails: troubles::Ails::default(),
             spread_ms: 0,
             quiet_at,
+            back_ms: None,
         };
         for i in 0..NODES {
             world.nodes.push(Node {
--- a/crates/world/src/troubles/late_reports.rs
+++ b/crates/world/src/troubles/late_reports.rs
@@ -14,7 +14,9 @@
             let mut copy = body.to_vec();
             if self.sabotage.no_order {
                 let mut report: Value = serde_json::from_slice(body).unwrap_or_default();
-                report["Contagem"] = json!(1_000_000 + report["Contagem"].as_u64().unwrap_or(0));
+                for (field, more) in [("Jornada", 1), ("Contagem", 1_000_000)] {
+                    report[field] = json!(more + report[field].as_u64().unwrap_or(0));
+                }
                 copy = report.to_string().into_bytes();
             }
             self.after(ms, Event::Copy(node, copy));
--- a/crates/world/src/troubles/mod.rs
+++ b/crates/world/src/troubles/mod.rs
@@ -100,6 +100,9 @@
 
     /// For how long a controller that has ended is away: at once again, after a moment, or after seconds.
     pub(crate) fn away_ms(&mut self) -> u64 {
+        if let Some(ms) = self.back_ms {
+            return ms;
+        }
         match self.rng.random_range(0..3u32) {
             0 => self.rng.random_range(20..200),
             1 => self.rng.random_range(200..2_000),
--- a/crates/world/src/workers.rs
+++ b/crates/world/src/workers.rs
@@ -30,6 +30,8 @@
     session: u64,
     seq: u64,
     token: u64,
+    /// From then on a higher token is reported at once.
+    token_news_at: u64,
     lease_from: u64,
     sent: u64,
     sent_session: u64,
@@ -64,6 +66,7 @@
             session: 1,
             seq: 0,
             token: 0,
+            token_news_at: 0,
             lease_from: now,
             sent: 0,
             sent_session: 1,
@@ -130,7 +133,11 @@
         if self.sent_session != self.session || (token < self.token && !no_tokens) {
             return false;
         }
-        let mut changed = token > self.token;
+        // A higher token is news at most once in half of a lease.
+        let mut changed = token > self.token && now >= self.token_news_at;
+        if changed {
+            self.token_news_at = now + LEASE_MS / 2;
+        }
         self.token = self.token.max(token);
         self.lease_from = self.sent;
         for order in body["Ordens"].as_array().into_iter().flatten() {
--- a/src/coordination/controller/answers.rs
+++ b/src/coordination/controller/answers.rs
@@ -178,10 +178,21 @@
                     self.mirror
                         .apply(&item.key, Some(&item.value), item.version);
                 }
+                if asker.is_none()
+                    && let Some(asked) = self.listed_asked.remove(&job)
+                {
+                    match &result {
+                        GetResult::Found(_) => self.reader.read_alone(&job, asked),
+                        GetResult::Missing(_) => {
+                            self.listed_absent.insert(job.clone());
+                        }
+                        GetResult::Failed => {}
+                    }
+                }
                 if let Some(id) = asker {
                     self.with_gateway(|gateway, env| gateway.needed(id, &job, &result, env));
                 } else if let GetResult::Missing(_) = result {
-                    tracing::error!(job = %job, "a job that others need is not there");
+                    tracing::error!(job = %job, "a job that is needed or listed is not there");
                 }
                 self.changed(vec![Changed::Job(job)]);
             }
--- a/src/coordination/controller/horizon.rs
+++ b/src/coordination/controller/horizon.rs
@@ -4,8 +4,8 @@
 use super::{Controller, UNSERVED_MS};
 use crate::outbox::Output;
 use snowshelf_horizon::attesting::Answer;
-use snowshelf_horizon::{Picture, may_answer};
-use snowshelf_model::ids::{JobId, Member, Millis, PartId};
+use snowshelf_horizon::renewal::known;
+use snowshelf_model::ids::{JobId, Member, Millis};
 use snowshelf_model::protocol::peer::{Attestation, AttestationRequest, Proof};
 use std::collections::BTreeSet;
 
@@ -17,17 +17,10 @@
 const MOST_NAMED: usize = 2_000;
 
 impl Controller {
-    /// Whether this controller may answer a worker of a part that it holds, whose report came at `received`.
-    pub(super) fn may_answer(&self, part: PartId, received: Millis) -> bool {
-        // Where the state service serves hardly anybody, nobody can have taken the part. That is a hint: it only
-        // says that answering is of use. That it breaks no rule follows from the horizon.
-        let serves = self.own.fresh(self.out.now) || (self.own.lease.is_some() && self.outage());
-        let picture = self.shards.get(&part).map(|shard| match shard.ready {
-            true => Picture::Read(self.horizon.at()),
-            false => Picture::Taken(shard.taken),
-        });
-        let answering_ms = self.cfg.settings.answering_ms();
-        serves && picture.is_some_and(|p| may_answer(p, received, answering_ms))
+    /// Whether answering workers is of use: where the state service serves hardly anybody, nobody can have taken the
+    /// part. That is a hint; that answers break no rule follows from the renewal that each of them needs.
+    pub(super) fn serves(&self) -> bool {
+        self.own.fresh(self.out.now) || (self.own.lease.is_some() && self.outage())
     }
 
     /// Asks the others what they have confirmed while the state service does not say it.
@@ -92,7 +85,7 @@
         let lets_go = self
             .horizon
             .at()
-            .is_some_and(|at| !may_answer(Picture::Read(Some(at)), now, answering_ms));
+            .is_some_and(|at| !known(Some(at), now, answering_ms));
         if lets_go != self.lets_go {
             self.lets_go = lets_go;
             let behind_ms = self.horizon.at().map(|at| now.since(at));
--- a/src/coordination/controller/mod.rs
+++ b/src/coordination/controller/mod.rs
@@ -32,7 +32,7 @@
 use snowshelf_model::protocol::cloud::MachineType;
 use snowshelf_model::protocol::worker::Report;
 use snowshelf_model::records::{Format, Terms};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How often the regular work is done.
 pub const TICK_MS: u64 = 25;
@@ -86,8 +86,13 @@
     missing_turns: Turns,
     hearing: Hearing,
     doors: Told,
-    /// Reports of workers that wait for this controller to own their part, and when they came.
+    /// Reports of workers that wait for this controller to own their part, or to read of their jobs, and when they
+    /// came.
     at_door: Vec<(ConnId, Report, Millis)>,
+    /// Jobs that are being read by themselves because waiting reports list them, and when they were asked for; those
+    /// that were not there.
+    listed_asked: BTreeMap<JobId, Millis>,
+    listed_absent: BTreeSet<JobId>,
     hint_at: Millis,
     pools_at: Millis,
     started: Millis,
@@ -152,6 +157,8 @@
             hearing: Hearing::default(),
             doors: Told::default(),
             at_door: Vec::new(),
+            listed_asked: BTreeMap::new(),
+            listed_absent: BTreeSet::new(),
             hint_at: Millis(0),
             pools_at: Millis(0),
             started: now,
@@ -202,6 +209,8 @@
             graph: &self.graph,
             guard: &self.guard,
             drains: &mut self.draining,
+            began: self.started,
+            absent: &self.listed_absent,
             horizon: self.horizon.at(),
             attested: &self.attested,
         }
--- a/src/coordination/controller/regular.rs
+++ b/src/coordination/controller/regular.rs
@@ -57,11 +57,11 @@
         }
         let parts: Vec<PartId> = self.shards.keys().copied().collect();
         self.tick_horizon();
+        let serves = self.serves();
         for part in parts {
-            let answers = self.may_answer(part, now);
             self.with_shard(part, |shard, env| {
                 shard.tick(fresh, &short, &missing, env);
-                if !answers {
+                if !serves {
                     shard.drop_held(env);
                 }
             });
--- a/src/coordination/controller/requests.rs
+++ b/src/coordination/controller/requests.rs
@@ -1,23 +1,32 @@
 //! Requests of users, workers and health checks, by path.
 
 use super::{Controller, UNSERVED_MS};
+use crate::bookkeeping::store::Class;
 use crate::coordination::bookings::{Asked, read_ask};
 use crate::coordination::drains;
-use crate::coordination::env::ReadFor;
+use crate::coordination::env::{ReadFor, Tag};
 use crate::coordination::query;
 use crate::coordination::runs;
 use crate::coordination::shard::Progress;
 use crate::outbox::{Request, Response};
 use serde_json::json;
 use snowshelf_calendar::entry::Malformed;
+use snowshelf_horizon::renewal::Refusal;
 use snowshelf_model::ids::{ConnId, JobId, Millis, PartId, WallMs, part_of};
 use snowshelf_model::protocol::user;
 use snowshelf_model::protocol::worker::{Report, redirect};
+use snowshelf_model::records::job_key;
+use std::collections::BTreeSet;
 
 /// For so long after its start a controller has workers wait that it will soon be the owner for, and
 /// for so long each of them waits at the most: a worker gives an answer up after 4 s.
 const STARTING_MS: u64 = 5_000;
 const AT_DOOR_MS: u64 = 1_000;
+/// For so long a worker waits until its jobs have been read; its task is known to run on or is halted then.
+const READ_FIRST_MS: u64 = 3_000;
+/// So many jobs are read by themselves at once, which leaves the reading its room; and how long each may take.
+const LISTED_UNDERWAY: usize = 8;
+const LISTED_MS: u64 = 1_500;
 const WRONG_METHOD: &str = "this path does not take that method";
 
 fn malformed(why: &Malformed) -> Response {
@@ -191,22 +200,54 @@
         mine && starting && !self.hearing.deaf && self.state_silent_ms() < UNSERVED_MS
     }
 
-    /// Answers the workers that wait for this controller to own their part, once it does or does not.
+    /// Answers the workers that wait for this controller to own their part and to read of their jobs, once it has or
+    /// they have waited for long.
     pub(super) fn open_doors(&mut self) {
         for (conn, report, since) in std::mem::take(&mut self.at_door) {
             self.report(conn, report, since);
         }
     }
 
+    /// Reads the jobs by themselves that a waiting report lists, where a whole reading takes long.
+    fn read_listed(&mut self, part: PartId, report: &Report) {
+        let now = self.out.now;
+        let unread: BTreeSet<JobId> = self.env().unread(part, &report.tasks).cloned().collect();
+        for job in unread {
+            if self.listed_asked.len() < LISTED_UNDERWAY
+                && !self.listed_asked.contains_key(&job)
+                && self.store.may(now, Class::Accept, 0)
+            {
+                self.listed_asked.insert(job.clone(), now);
+                let key = job_key(&job);
+                let tag = Tag::Needed(None, job);
+                self.store.get(&mut self.out, tag, &key, LISTED_MS);
+            }
+        }
+    }
+
     /// Handles a report that came at `since`.
     fn report(&mut self, conn: ConnId, report: Report, since: Millis) {
         let now = self.out.now;
         let part = part_of(report.machine.as_str(), self.cfg.parts);
         let held = self.own.token(part).is_some() && self.shards.contains_key(&part);
         self.hearing.heard(&report, held, part, now);
-        if held && self.may_answer(part, since) {
-            self.with_shard(part, |shard, env| shard.check_in(conn, report, env));
-            return;
+        let mut report = report;
+        if held && self.serves() {
+            let mut refused = None;
+            self.with_shard(part, |shard, env| {
+                refused = shard.check_in(conn, report, since, env);
+            });
+            match refused {
+                None => return,
+                Some((why, back)) => {
+                    report = back;
+                    if why == Refusal::Unread && now.since(since) < READ_FIRST_MS {
+                        self.read_listed(part, &report);
+                        self.at_door.push((conn, report, since));
+                        return;
+                    }
+                }
+            }
         }
         // Guards against a worker sent away a moment before its part is taken here, to look for an owner
         // a second at a time while its lease runs out.
--- a/src/coordination/env.rs
+++ b/src/coordination/env.rs
@@ -165,6 +165,10 @@
     pub graph: &'a Graph,
     pub guard: &'a Guard,
     pub drains: &'a mut Draining,
+    /// When this process began.
+    pub began: Millis,
+    /// Jobs that were read by themselves since, and were not there.
+    pub absent: &'a BTreeSet<JobId>,
     /// Up to when it is known here what users were told.
     pub horizon: Option<Millis>,
     /// Jobs that another controller has confirmed as cancelled, beside what the mirror knows.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -15,6 +15,7 @@
 mod query;
 mod queue;
 pub mod reader;
+mod renewing;
 pub mod runs;
 pub mod shard;
 pub mod upgrade;
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -32,6 +32,8 @@
     /// How far the feed has been followed, once the first page has said from where; of no use once what is open is
     /// known.
     followed: Option<Version>,
+    /// Since when.
+    followed_at: Option<Millis>,
     /// What is open is known; ended jobs are still read.
     open_known: bool,
     items: u64,
@@ -88,6 +90,15 @@
         })
     }
 
+    /// A job has been read by itself, asked for then: of use if the feed was followed already.
+    pub fn read_alone(&mut self, job: &JobId, asked: Millis) {
+        if let Some(reading) = &mut self.reading
+            && reading.followed_at.is_some_and(|at| asked >= at)
+        {
+            reading.stages.seen(job);
+        }
+    }
+
     /// Whether ended jobs are still being read, which somebody waits for.
     pub fn reads_ended(&self) -> bool {
         self.reading.as_ref().is_some_and(|r| r.open_known)
@@ -177,6 +188,7 @@
         };
         if reading.followed.is_none() {
             reading.followed = Some(page.revision);
+            reading.followed_at = Some(env.out.now);
             reading.known = env.mirror.open_keys().into_iter().collect();
         }
         reading.items += page.items.len() as u64;
--- a/src/coordination/shard/machine.rs
+++ b/src/coordination/shard/machine.rs
@@ -2,19 +2,11 @@
 
 use crate::coordination::images::Images;
 use snowshelf_calendar::calendar::Pool;
-use snowshelf_model::ids::{Attempt, ConnId, JobId, Millis, Seq, Session, seconds_to_ms};
-use snowshelf_model::protocol::worker::{TaskRef, TaskState, Why};
+use snowshelf_model::ids::{ConnId, JobId, Millis, Seq, Session, seconds_to_ms};
+use snowshelf_model::protocol::worker::{TaskReport, TaskState};
 use snowshelf_model::records::Room;
 use snowshelf_recovery::squaring::Leaving;
 
-#[derive(Clone)]
-pub(super) struct OnMachine {
-    pub task: TaskRef,
-    pub attempt: Attempt,
-    pub state: TaskState,
-    pub why: Option<Why>,
-}
-
 /// Why a machine is emptied for good.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(super) enum Drained {
@@ -48,7 +40,7 @@
     /// Its started tasks are an earlier owner's, and no report has shown this one's token yet.
     pub inherited: bool,
     pub notice_until: Option<Millis>,
-    pub listed: Vec<OnMachine>,
+    pub listed: Vec<TaskReport>,
     pub held: Option<Held>,
     pub idle_since: Option<Millis>,
     /// By the numbers that the part gives to images.
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -2,13 +2,16 @@
 
 use super::Shard;
 use super::job::ShardJob;
-use super::machine::{Drained, Held, Machine, OnMachine};
+use super::machine::{Drained, Held, Machine};
 use crate::coordination::env::Env;
 use crate::outbox::Response;
 use snowshelf_calendar::calendar::Pool;
 use snowshelf_drain::door::{Cause, stops};
+use snowshelf_horizon::renewal::{Refusal, Renewal, may_begin};
 use snowshelf_model::ids::{Attempt, ConnId, JobId, MachineId, Millis, TaskNo, seconds_to_ms};
-use snowshelf_model::protocol::worker::{Answer, Command, Report, TaskRef, TaskState, Why};
+use snowshelf_model::protocol::worker::{
+    Answer, Command, Report, TaskRef, TaskReport, TaskState, Why, redirect,
+};
 use snowshelf_model::records::{JobSpec, Kind, Step, StepKind};
 use snowshelf_recovery::squaring::{
     Evidence, Leaving, Nature, Order, Reported, Shown, Stored, Tells, square,
@@ -19,44 +22,51 @@
 const MAX_COMMANDS: usize = 400;
 
 impl Shard {
-    /// Handles a worker's report. The caller has checked that this owner may answer.
-    pub fn check_in(&mut self, conn: ConnId, report: Report, env: &mut Env) {
+    /// Handles a worker's report that came at `received`. The caller has checked that the part is held; gives the
+    /// report back while it may not be answered for want of knowledge.
+    pub fn check_in(
+        &mut self,
+        conn: ConnId,
+        report: Report,
+        received: Millis,
+        env: &mut Env,
+    ) -> Option<(Refusal, Report)> {
         let now = env.now();
         if report.token > self.token {
             tracing::info!(part = %self.part, token = %self.token, seen = %report.token,
                 machine = %report.machine, "a worker has seen a higher token: deposed");
             self.deposed = true;
-            env.out.respond(
-                conn,
-                Response::new(421, snowshelf_model::protocol::worker::redirect(None)),
-            );
-            return;
+            let_go(conn, env);
+            return None;
         }
         if self.gone.contains(&report.machine) {
             // Guards against a late report of a machine whose return was confirmed.
             env.out
                 .respond(conn, Response::later(503, "this machine was returned", 5));
-            return;
+            return None;
         }
+        let renewal = match env.renewal(self.part, &report.tasks, received) {
+            Ok(renewal) => renewal,
+            Err(why) => return Some((why, report)),
+        };
         if !self.ready {
             // Its lease is kept up, and the token told. What it says is taken in with the picture.
-            self.answer(conn, Vec::new(), env);
+            self.answer(conn, renewal, Vec::new(), env);
             let newest = self.early.get(&report.machine);
             if newest.is_none_or(|(_, r)| (r.session, r.seq) < (report.session, report.seq)) {
                 self.early.insert(report.machine.clone(), (now, report));
             }
-            return;
+            return None;
         }
         let name = report.machine.clone();
         if !self.take_in(report, now, env) {
             // Late or repeated: a newer one has settled what this one says.
-            self.answer(conn, Vec::new(), env);
-            return;
+            self.answer(conn, renewal, Vec::new(), env);
+            return None;
         }
         if let Some(old) = self.machines.get_mut(&name).and_then(|m| m.held.take()) {
             // The worker has given that request up.
-            env.out
-                .respond(old.conn, Response::new(200, self.answer_body(&[])));
+            let_go(old.conn, env);
         }
         self.place(env);
         let since = now;
@@ -73,8 +83,9 @@
             self.flush(env);
         } else {
             let commands = self.commands(&name, now, env);
-            self.answer(conn, commands, env);
+            self.answer(conn, renewal, commands, env);
         }
+        None
     }
 
     /// Takes in the reports that came before the picture was there. Nothing has been started by this
@@ -130,16 +141,7 @@
             self.dirty = true;
         }
         machine.notice_until = report.notice_s.map(|s| heard.plus(seconds_to_ms(s)));
-        machine.listed = report
-            .tasks
-            .into_iter()
-            .map(|t| OnMachine {
-                task: t.task,
-                attempt: t.attempt,
-                state: t.state,
-                why: t.why,
-            })
-            .collect();
+        machine.listed = report.tasks;
         machine.stale = true;
         let evidence = Evidence {
             shown: if shown { Shown::Equal } else { Shown::Behind },
@@ -167,16 +169,35 @@
         self.awaits_start(name) || (pass_due && open)
     }
 
-    fn answer_body(&self, commands: &[Command]) -> Vec<u8> {
-        serde_json::to_vec(&Answer {
+    /// Answers a report, which renews the worker's lease: what leave was given to halt goes first.
+    fn answer(
+        &self,
+        conn: ConnId,
+        renewal: Renewal<(TaskRef, Attempt)>,
+        commands: Vec<Command>,
+        env: &mut Env,
+    ) {
+        let halts = renewal.into_halts();
+        if halts.len() > MAX_COMMANDS {
+            let_go(conn, env);
+            return;
+        }
+        let mut all: Vec<Command> = halts
+            .into_iter()
+            .map(|(task, attempt)| Command::Halt {
+                task,
+                attempt,
+                grace_s: 0.0,
+            })
+            .collect();
+        let others: Vec<Command> = commands.into_iter().filter(|c| !all.contains(c)).collect();
+        all.extend(others);
+        all.truncate(MAX_COMMANDS);
+        let answer = Answer {
             token: self.token,
-            commands: commands.to_vec(),
-        })
-        .unwrap_or_default()
-    }
-
-    fn answer(&self, conn: ConnId, commands: Vec<Command>, env: &mut Env) {
-        let body = self.answer_body(&commands);
+            commands: all,
+        };
+        let body = serde_json::to_vec(&answer).unwrap_or_default();
         env.out.respond(conn, Response::new(200, body));
     }
 
@@ -301,7 +322,7 @@
     }
 
     /// Which images the machine has and which it fetches, by its newest report.
-    fn note_images(&mut self, name: &MachineId, listed: &[OnMachine], env: &Env) {
+    fn note_images(&mut self, name: &MachineId, listed: &[TaskReport], env: &Env) {
         let unlisted = self.unlisted(name);
         let Some(m) = self.machines.get_mut(name) else {
             return;
@@ -404,6 +425,7 @@
             return Vec::new();
         }
         let report_ms = env.cfg.settings.report_ms();
+        let begins = may_begin(env.horizon, now);
         let mut commands = Vec::new();
         let mut order = |machine_leaves, reported, task: TaskRef, attempt| {
             let job = self.jobs.get(&task.job);
@@ -426,7 +448,9 @@
             }
             let nature = Self::nature(spec);
             let cell = square(stored, reported, Evidence::PLAIN, leaving, nature);
-            commands.extend(cell.order.map(|order| match order {
+            // Guards against a task that begins long after a cancellation which this owner could not hear of.
+            let order = cell.order.filter(|o| begins || *o != Order::Run);
+            commands.extend(order.map(|order| match order {
                 Order::Run => Command::Run { task, attempt },
                 Order::Reap => Command::Reap { task, attempt },
                 Order::Kill | Order::Stop => Command::Halt {
@@ -445,7 +469,6 @@
         for (job, task, attempt) in self.unlisted(name) {
             order(leaving, Reported::Absent, TaskRef { job, task }, attempt);
         }
-        commands.truncate(MAX_COMMANDS);
         commands
     }
 
@@ -480,8 +503,16 @@
             if let Some(m) = self.machines.get_mut(&name) {
                 m.held = None;
             }
-            let commands = self.commands(&name, now, env);
-            self.answer(held.conn, commands, env);
+            let Some(machine) = self.machines.get(&name) else {
+                continue;
+            };
+            match env.renewal(self.part, &machine.listed, held.since) {
+                Ok(renewal) => {
+                    let commands = self.commands(&name, now, env);
+                    self.answer(held.conn, renewal, commands, env);
+                }
+                Err(_) => let_go(held.conn, env),
+            }
         }
     }
 
@@ -489,11 +520,13 @@
     pub fn drop_held(&mut self, env: &mut Env) {
         for machine in self.machines.values_mut() {
             if let Some(held) = machine.held.take() {
-                env.out.respond(
-                    held.conn,
-                    Response::new(421, snowshelf_model::protocol::worker::redirect(None)),
-                );
+                let_go(held.conn, env);
             }
         }
     }
 }
+
+/// Lets a worker look for an owner elsewhere; its lease is as it was.
+fn let_go(conn: ConnId, env: &mut Env) {
+    env.out.respond(conn, Response::new(421, redirect(None)));
+}
--- a/tests/reading.rs
+++ b/tests/reading.rs
@@ -121,6 +121,19 @@
         json!({"Items": items, "More": more, "Safra": self.revision})
     }
 
+    /// One job's key: the listed one is nobody's.
+    fn one(&self, path: &str) -> (u16, Value) {
+        let key = path.trim_start_matches("/kv/");
+        let found = (0..self.jobs).find(|n| job_key(*n) == key);
+        match found {
+            Some(n) => (
+                200,
+                json!({"Path": key, "Value": self.job(n), "Colheita": n + 1}),
+            ),
+            None => (404, json!({"Safra": self.revision})),
+        }
+    }
+
     fn changes(&self, path: &str) -> (u16, Value) {
         let after: u64 = param(path, "After").parse().unwrap_or(0);
         if after + KEPT < self.revision {
@@ -186,7 +199,18 @@
 
 impl Play {
     fn new(history: History) -> Play {
-        let settings = Settings::parse(&SETTINGS.replace("rps = 100.0", "rps = 200.0")).unwrap();
+        Play::among(history, 1)
+    }
+
+    /// One of so many controllers; the others are never heard.
+    fn among(history: History, nodes: u32) -> Play {
+        let mut text = SETTINGS.replace("rps = 100.0", "rps = 200.0");
+        text = text.replace("nodes = 1", &format!("nodes = {nodes}"));
+        for n in 1..nodes {
+            let peer = format!("member = \"a-{n}\"\naddress = \"10.0.0.{n}:2\"");
+            text = format!("{text}\n[[peers]]\n{peer}\n");
+        }
+        let settings = Settings::parse(&text).unwrap();
         Play {
             controller: Controller::new(settings, OperatorSettings::default(), Millis(1)),
             history,
@@ -264,6 +288,7 @@
             (Target::State, "/leases") => (200, json!({"Arrendo": 7})),
             (Target::State, "/txn") => (200, self.history.txn(body)),
             (Target::State, _) if path.starts_with("/kv?") => (200, self.history.page(path)),
+            (Target::State, _) if path.starts_with("/kv/job/") => self.history.one(path),
             (Target::State, _) if path.starts_with("/changes") && feed => {
                 self.history.changes(path)
             }
@@ -272,7 +297,7 @@
         };
         self.too_old += usize::from(status == 410);
         let body = value.to_string().into_bytes();
-        if target == Target::State && path.starts_with("/kv?") {
+        if target == Target::State && path.starts_with("/kv") {
             self.history.requests += 1;
             self.history.bytes += body.len();
         }
@@ -315,7 +340,8 @@
 #[test]
 fn workers_are_let_go_by_an_owner_that_hears_nothing_new() {
     let _alone = ALONE.lock();
-    let mut play = Play::new(History::new(1_000, true));
+    // Of two: one that is alone confirms all that is confirmed, and so knows it.
+    let mut play = Play::among(History::new(1_000, true), 2);
     let settings = Settings::parse(SETTINGS).unwrap();
     let answering_ms = settings.answering_ms();
     assert!(answering_ms > 5_000, "{answering_ms}");
