--- a/crates/model/src/protocol/worker.rs
+++ b/crates/model/src/protocol/worker.rs
@@ -60,6 +60,36 @@
     Unknown,
 }
 
+/// Why a report cannot be a worker's.
+#[derive(Debug)]
+pub enum BadReport {
+    Malformed(serde_json::Error),
+    /// Sessions and attempts are counted from 1.
+    Zero(&'static str),
+}
+
+impl std::fmt::Display for BadReport {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            BadReport::Malformed(error) => error.fmt(f),
+            BadReport::Zero(field) => write!(f, "{field} begins at 1"),
+        }
+    }
+}
+
+impl Report {
+    pub fn parse(body: &[u8]) -> Result<Report, BadReport> {
+        let report: Report = serde_json::from_slice(body).map_err(BadReport::Malformed)?;
+        if report.session == Session(0) {
+            return Err(BadReport::Zero("Jornada"));
+        }
+        if report.tasks.iter().any(|t| t.attempt == Attempt(0)) {
+            return Err(BadReport::Zero("Tentativa"));
+        }
+        Ok(report)
+    }
+}
+
 /// `wk-000412/3`.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Deserialize, Serialize)]
 #[serde(try_from = "String", into = "String")]
--- a/src/coordination/controller/requests.rs
+++ b/src/coordination/controller/requests.rs
@@ -178,7 +178,7 @@
     }
 
     fn check_in(&mut self, conn: ConnId, body: &[u8]) {
-        let report: Report = match serde_json::from_slice(body) {
+        let report = match Report::parse(body) {
             Ok(report) => report,
             Err(error) => {
                 tracing::info!(%error, "malformed report");
