--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -8,6 +8,7 @@
 mod events;
 pub mod frozen;
 mod machines;
+pub mod meetings;
 mod nodes;
 mod rules;
 pub mod running;
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -2,27 +2,9 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use serde_json::json;
+use snowshelf_world::meetings::{Meeting, OVER_MS, endless_jobs, holds, play, running};
 use snowshelf_world::troubles::Trouble;
-use snowshelf_world::{NODES, Sabotage, Weather, World};
-
-/// Jobs that run until they are stopped, which their users want cancelled at `cancel_at`.
-fn endless_jobs(seed: u64, jobs: usize, cancel_at: impl Fn(usize) -> Option<u64>) -> World {
-    let mut world = World::new(seed, Weather::CALM, Sabotage::default(), 0, u64::MAX);
-    for n in 0..jobs {
-        let team = ["red", "blue"][n % 2];
-        world.add_user(2_000, json!({"Tarefas": 3, "Cuadrilla": team}));
-        world.users[n].cancel_at = cancel_at(n);
-        let job = world.users[n].job.clone();
-        world.endless.insert(job);
-    }
-    world
-}
-
-fn running(world: &World) -> usize {
-    let tasks = world.workers.values().flat_map(|w| &w.tasks);
-    tasks.filter(|t| t.state == "running").count()
-}
+use snowshelf_world::{NODES, Sabotage, World};
 
 /// Refused at 60 s is one controller alone, and a while later everybody, until 140 s. From the seed 5 on the one's
 /// lease may have run out by then: its part is nobody's while the outage lasts, and its workers are lost.
@@ -124,48 +106,6 @@
     }
 }
 
-/// All troubles are over by then, and all users must have heard the end by the second moment.
-const OVER_MS: u64 = 140_000;
-const END_MS: u64 = 600_000;
-
-/// What goes wrong when, and for how long.
-type Meeting = Vec<(u64, u64, Trouble)>;
-
-/// Jobs of few and many tasks, short and long, some without end and cancelled, some that need others.
-fn play(seed: u64, sabotage: Sabotage, meeting: &Meeting) -> World {
-    let mut world = World::new(seed, Weather::CALM, sabotage, 12, OVER_MS);
-    world.run_ms = [3_000, 6_000, 9_000][seed as usize % 3];
-    world.spread_ms = [0, 4_000, 15_000][(seed / 3) as usize % 3];
-    let mut rng = StdRng::seed_from_u64(seed ^ 0x6a6f_6273);
-    for _ in 0..4 {
-        let n = world.users.len();
-        let tasks = rng.random_range(1..4u32);
-        let spec = json!({"Tarefas": tasks, "Avulsas": true});
-        world.add_user(rng.random_range(2_000..20_000u64), spec);
-        world.users[n].cancel_at = Some(rng.random_range(15_000..110_000u64));
-        let job = world.users[n].job.clone();
-        world.endless.insert(job);
-    }
-    for (at, for_ms, trouble) in meeting {
-        world.bring(*at, *for_ms, *trouble);
-    }
-    world.run(END_MS);
-    world
-}
-
-/// Holds every rule against a meeting, its moments shifted by seconds, and has every user hear the end.
-#[track_caller]
-fn holds(meeting: impl Fn(usize) -> Meeting) {
-    for seed in 0..9u64 {
-        let node = seed as usize % NODES;
-        let mut shifted = meeting(node);
-        for (n, (at, _, _)) in shifted.iter_mut().enumerate() {
-            *at += n as u64 * 700 * (seed / 3) + 130 * seed;
-        }
-        play(seed, Sabotage::default(), &shifted).assert_sound(seed);
-    }
-}
-
 /// Guards against tokens, grants and attempts of one life that are used in the next: parts are handed over and come
 /// back, all controllers end, and one is back within a second.
 #[test]
