What users are told is held against the order of their questions, closely and oddly asked

Cause: the world's users asked one thing at a time, at one controller, every two seconds; whether any controller answers something older was looked at by the order of the answers alone.

Change: histories.rs keeps all answers about a job, with the number of the question and of the last one asked before the answer. None may be older than one that had reached a user before the question; two ends of one job never both stand; an answer to a cancellation is an end; nothing is known before it was submitted. Where users ask one thing at a time the order of answers alone counts, as before. Troubles: CloseLooks, CancelAtEnd, OddRequests, and reports that cannot be. tests/told.rs brings them about.

Ruled out: holding overlapping questions of several controllers against the order of the answers; a read that the state service served before a write, and whose answer comes after, is not wrong.

--- a/crates/world/src/asking.rs
+++ b/crates/world/src/asking.rs
@@ -1,5 +1,6 @@
 //! Users: what they submit, ask and cancel, and what they make of the answers.
 
+use super::histories::Question;
 use super::*;
 
 impl World {
@@ -56,6 +57,7 @@
             wants_cancel: false,
             cancel_at,
             submit_at,
+            history: Default::default(),
         }
     }
 
@@ -84,6 +86,7 @@
             wants_cancel: false,
             cancel_at: None,
             submit_at,
+            history: Default::default(),
         });
         self.at(submit_at, Event::UserNext(self.users.len() - 1));
     }
@@ -97,7 +100,7 @@
             return;
         }
         let user = &mut self.users[u];
-        let (job, mut spec) = (user.job.clone(), user.spec.clone());
+        let mut spec = user.spec.clone();
         if self.sabotage.no_needs {
             spec["Aguarda"] = Value::Null;
         }
@@ -105,16 +108,18 @@
             user.wants_cancel = true;
         }
         let settled = user.told_done || user.told_cancelled.is_some();
-        if !user.accepted && !by_run {
-            let body = spec.to_string().into_bytes();
-            self.ask(node, "POST", "/api/jobs", body, Asked::Submit(u))
+        let question = if !user.accepted && !by_run {
+            Question::Submit
         } else if user.wants_cancel && !settled {
-            let path = format!("/api/jobs/{job}/cancel");
-            self.ask(node, "POST", &path, Vec::new(), Asked::Cancel(u))
+            Question::Cancel
         } else {
-            let path = format!("/api/jobs/{job}");
-            self.ask(node, "GET", &path, Vec::new(), Asked::Poll(u))
+            Question::Poll
         };
+        self.question(node, u, question, &spec);
+        if question == Question::Submit && self.ails.close_looks {
+            self.look_around(u);
+        }
+        self.ask_oddly(u);
         // Odd questions are a tenth of a small world's, and no more of them come in a large one: each is a
         // read of the state service.
         let odd = (ODD_USERS / self.users.len() as f64).min(0.1);
@@ -133,14 +138,15 @@
             self.ask(node, "POST", "/api/jobs", body, Asked::Dangling);
             // An accepted job may be submitted again at any time.
             if self.users[u].accepted {
-                let body = spec.to_string().into_bytes();
-                self.ask(node, "POST", "/api/jobs", body, Asked::Submit(u));
+                self.question(node, u, Question::Submit, &spec);
             }
         }
         self.after(2_000, Event::UserNext(u));
     }
 
-    pub(crate) fn answered(&mut self, asked: Asked, status: u16, body: Vec<u8>, _ms: u64) {
+    /// The answer of a controller to one of the numbered questions.
+    pub(crate) fn answered(&mut self, by: (usize, u64), asked: Asked, status: u16, body: Vec<u8>) {
+        let (status, body) = self.once_true(by.0, &asked, status, body);
         self.touched |= !matches!(asked, Asked::Worker(..) | Asked::Nobody);
         let value: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
         let word = value["Estado"].as_str().unwrap_or("").to_string();
@@ -171,25 +177,28 @@
                         .push("invented: a job nobody submitted is known".into());
                 }
             }
+            Asked::Odd(expected, field) => self.odd_answered(expected, field, status, &value),
             Asked::Submit(u) | Asked::Poll(u) | Asked::Cancel(u) => {
+                let question = match asked {
+                    Asked::Submit(_) => Question::Submit,
+                    Asked::Cancel(_) => Question::Cancel,
+                    _ => Question::Poll,
+                };
                 let now = self.now;
+                if self.judge(by, u, question, status, &word) {
+                    self.look_closely(u, question == Question::Submit);
+                }
                 // When a user was told that a job above this one is cancelled.
                 let above = self.cancelled_above(u);
                 let user = &mut self.users[u];
                 let job = user.job.clone();
-                if user.accepted && matches!(status, 404 | 400 | 422) {
-                    self.broken
-                        .push(format!("forgotten: {job} is answered {status}"));
-                    return;
-                }
                 if status != 200 && status != 201 {
                     return;
                 }
                 user.accepted = true;
                 user.answered_at = now;
-                let went_back = (user.told_done && word != "done")
-                    || (user.told_cancelled.is_some() && word != "aborted")
-                    || (word == "aborted" && !user.wants_cancel && above.is_none() && !user.by_run);
+                let uncalled =
+                    word == "aborted" && !user.wants_cancel && above.is_none() && !user.by_run;
                 let orphaned = above.flatten().is_some_and(|at| now > at + CANCEL_MS)
                     && matches!(word.as_str(), "queued" | "running");
                 if word == "done" {
@@ -203,7 +212,7 @@
                 if orphaned {
                     self.broken.push(format!("orphaned: {job} is {word}"));
                 }
-                if went_back {
+                if uncalled {
                     self.broken.push(format!("went_back: {job} is now {word}"));
                 }
                 if word == "done" && all < tasks {
--- a/crates/world/src/events.rs
+++ b/crates/world/src/events.rs
@@ -1,5 +1,6 @@
 //! What happens, and what comes of it.
 
+use super::histories::Question;
 use super::*;
 
 pub(crate) enum Event {
@@ -38,6 +39,9 @@
     Hang(String, u64),
     Boot(String),
     UserNext(usize),
+    /// A user asks one controller, beside the questions of every few seconds.
+    Look(usize, usize, Question),
+    OddReport(usize, Value),
     BookNext(usize),
     RunNext(usize),
     KeepNext(usize),
@@ -165,6 +169,8 @@
                 }
             }
             Event::UserNext(u) => self.user_next(u),
+            Event::Look(u, node, question) => self.looks(u, node, question),
+            Event::OddReport(node, fields) => self.send_odd_report(node, &fields),
             Event::BookNext(b) => self.book_next(b),
             Event::RunNext(r) => self.run_next(r),
             Event::KeepNext(k) => self.keep_next(k),
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod draining;
 mod events;
 pub mod frozen;
+mod histories;
 mod machines;
 pub mod meetings;
 mod nodes;
@@ -65,6 +66,8 @@
     pub no_order: bool,
     /// Submissions lose the jobs that they need on their way.
     pub no_needs: bool,
+    /// The first controller answers polls by what was true once.
+    pub old_answers: bool,
 }
 
 /// How rough the network and the surroundings are.
@@ -140,6 +143,7 @@
     pub wants_cancel: bool,
     pub cancel_at: Option<u64>,
     pub submit_at: u64,
+    pub(crate) history: histories::History,
 }
 
 enum Asked {
@@ -150,6 +154,8 @@
     Poll(usize),
     Cancel(usize),
     Stranger,
+    /// What must be refused with this status, and the field to be named.
+    Odd(u16, &'static str),
     /// A submission that needs a job nobody submitted.
     Dangling,
     /// A reservation or a window, and a question about an accepted one.
@@ -214,6 +220,8 @@
     pub starts: u64,
     /// Submissions refused because they need a job nobody submitted.
     pub dangling: u64,
+    /// Odd requests refused as they must be.
+    pub odd_refused: u64,
     refused: BTreeSet<usize>,
     /// Controllers that no worker reaches, nor they it.
     deaf: BTreeSet<usize>,
@@ -318,6 +326,7 @@
             broken: Vec::new(),
             starts: 0,
             dangling: 0,
+            odd_refused: 0,
             refused: BTreeSet::new(),
             deaf: BTreeSet::new(),
             mute: BTreeSet::new(),
--- a/crates/world/src/machines.rs
+++ b/crates/world/src/machines.rs
@@ -82,6 +82,7 @@
             let lost = now < self.quiet_at && self.rng.random_bool(self.weather.lost);
             !lost && self.ask(node, "POST", "/checkin", body, asked)
         };
+        self.end_met(name);
         if sent {
             self.after(4_000, Event::ReportTimeout(name.to_string(), number));
         } else if let Some(w) = self.workers.get_mut(name) {
@@ -148,15 +149,19 @@
         self.touched |= w.expire(now);
         let (changed, next) = w.progress(now);
         self.touched |= changed;
+        let mut completed = Vec::new();
         for task in &w.tasks {
             if task.state == "exited" && task.why == "done" {
                 let (job, number) = task.name.split_once('/').unwrap_or(("", "0"));
-                self.finished
-                    .entry(job.to_string())
-                    .or_default()
-                    .insert(number.parse().unwrap_or(0));
+                let finished = self.finished.entry(job.to_string()).or_default();
+                if finished.insert(number.parse().unwrap_or(0)) {
+                    completed.push(job.to_string());
+                }
             }
         }
+        for job in completed {
+            self.task_completed(name, &job);
+        }
         if changed {
             self.after(500, Event::Report(name.to_string()));
         }
--- a/crates/world/src/nodes.rs
+++ b/crates/world/src/nodes.rs
@@ -58,9 +58,9 @@
         for output in outputs {
             match output {
                 Output::Respond(conn, response) => {
-                    let ms = self.hop();
+                    self.hop();
                     if let Some(asked) = self.asked.remove(&(i, life, conn.0)) {
-                        self.answered(asked, response.status, response.body, ms);
+                        self.answered((i, conn.0), asked, response.status, response.body);
                     }
                 }
                 Output::Call {
@@ -71,6 +71,9 @@
                     body,
                     timeout_ms,
                 } => {
+                    if path == "/txn" {
+                        self.ends_written(&body);
+                    }
                     let quiet = now >= self.quiet_at;
                     let lost = !quiet && self.rng.random_bool(self.weather.lost);
                     let late = lost && self.rng.random_bool(self.weather.late);
--- a/crates/world/src/running.rs
+++ b/crates/world/src/running.rs
@@ -117,6 +117,7 @@
                 wants_cancel: false,
                 cancel_at: None,
                 submit_at: 0,
+                history: Default::default(),
             };
             self.users.push(user);
         }
--- a/crates/world/src/troubles/mod.rs
+++ b/crates/world/src/troubles/mod.rs
@@ -1,14 +1,16 @@
 //! What goes wrong in the world, and when.
 
 mod apart;
+mod close_looks;
 mod deaf_machines;
 mod held_answers;
 mod late_reports;
 mod late_writes;
+pub mod odd_requests;
 
 use super::{Event, NODES, World};
 use rand::RngExt;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// One thing that goes wrong for a while.
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -35,6 +37,12 @@
     Mute(usize),
     /// No worker reaches a controller.
     Deaf(usize),
+    /// Users ask all controllers again and again, and repeat submissions, right after what they are told; some cancel.
+    CloseLooks,
+    /// That share of the jobs that end is called off at the very moment.
+    CancelAtEnd(f64),
+    /// Users ask for what must be refused, repeat what was accepted with other fields, cancel what is done.
+    OddRequests,
     /// A controller ends; all do, within so many milliseconds.
     Crash(usize),
     CrashAll(u64),
@@ -47,6 +55,15 @@
     pub late_reports: f64,
     pub held_answers: f64,
     pub slow_ms: u64,
+    pub close_looks: bool,
+    /// Users have begun to ask before they are answered.
+    pub overlap: bool,
+    pub cancel_at_end: f64,
+    pub odd_requests: bool,
+    pub odd_jobs: u64,
+    /// Jobs whose end is asked about, and maybe called off, as a machine of this name reports or as the end of the
+    /// job of this name is written.
+    pub ends: BTreeMap<String, Vec<(usize, bool)>>,
     pub deaf_machines: BTreeSet<String>,
     /// Controllers that the state service does not hear, nor they it.
     pub unserved: BTreeSet<usize>,
@@ -74,6 +91,9 @@
             | Trouble::LateReports(_)
             | Trouble::DeafMachines(_)
             | Trouble::HeldAnswers(_)
+            | Trouble::CloseLooks
+            | Trouble::CancelAtEnd(_)
+            | Trouble::OddRequests
             | Trouble::Slow(_) => {
                 self.at(at, Event::Ails(trouble, true));
                 self.at(until, Event::Ails(trouble, false));
@@ -87,6 +107,15 @@
             Trouble::LateWrites(share) => self.ails.late_writes = now(share),
             Trouble::LateReports(share) => self.ails.late_reports = now(share),
             Trouble::HeldAnswers(share) => self.ails.held_answers = now(share),
+            Trouble::CloseLooks => {
+                self.ails.close_looks = on;
+                self.ails.overlap = true;
+            }
+            Trouble::CancelAtEnd(share) => {
+                self.ails.cancel_at_end = now(share);
+                self.ails.overlap = true;
+            }
+            Trouble::OddRequests => self.ails.odd_requests = on,
             Trouble::Slow(ms) => self.ails.slow_ms = if on { ms } else { 0 },
             Trouble::DeafMachines(share) => self.deafen(now(share)),
             _ => {}
--- a/crates/world/src/workers.rs
+++ b/crates/world/src/workers.rs
@@ -104,11 +104,17 @@
     }
 
     pub fn begin_report(&mut self, now: u64) -> (u64, usize, Vec<u8>) {
-        self.seq += 1;
         self.number += 1;
         self.sent = now;
         self.sent_session = self.session;
         self.in_flight = Some(self.number);
+        let body = self.next_listing(now).to_string().into_bytes();
+        (self.number, self.node, body)
+    }
+
+    /// What it reports now, with the next counter.
+    pub fn next_listing(&mut self, now: u64) -> Value {
+        self.seq += 1;
         let tasks: Vec<Value> = self
             .tasks
             .iter()
@@ -117,10 +123,9 @@
                     "Motivo": (t.state == "exited").then_some(t.why)})
             })
             .collect();
-        let body = json!({"Prensa": self.name, "Address": "10.1.0.1:1", "Modelo": self.model,
+        json!({"Prensa": self.name, "Address": "10.1.0.1:1", "Modelo": self.model,
             "Parcela": self.zone, "Avulsas": self.spot, "Jornada": self.session,
-            "Contagem": self.seq, "Selo": self.token, "AvisoS": self.taken_at.map(|at| at.saturating_sub(now) as f64 / 1000.0), "Tarefas": tasks});
-        (self.number, self.node, body.to_string().into_bytes())
+            "Contagem": self.seq, "Selo": self.token, "AvisoS": self.taken_at.map(|at| at.saturating_sub(now) as f64 / 1000.0), "Tarefas": tasks})
     }
 
     /// Takes a 200 in; true if something changed.
--- /dev/null
+++ b/tests/told.rs
@@ -0,0 +1,181 @@
+//! What users are told: asked at any controller, at whatever moment, no answer is older than one given before.
+
+use serde_json::{Value, json};
+use snowshelf_world::meetings::{Meeting, endless_jobs, holds, play, running};
+use snowshelf_world::troubles::Trouble;
+use snowshelf_world::troubles::odd_requests::{malformed, never_runs};
+use snowshelf_world::{NODES, Sabotage};
+
+const NEVER: Vec<String> = Vec::new();
+
+/// All day long, beside the troubles of the meeting.
+fn all_day(habits: &[Trouble], meeting: Meeting) -> Meeting {
+    let habits = habits.iter().map(|habit| (1_000, 139_000, *habit));
+    meeting.into_iter().chain(habits).collect()
+}
+
+/// Guards against answers that come from a picture: all controllers are asked within milliseconds of what any of them
+/// has said, jobs are submitted again and some cancelled at once, with nothing else wrong.
+#[test]
+fn asked_at_all_controllers_within_milliseconds_none_answers_what_is_older() {
+    holds(|_| all_day(&[Trouble::CloseLooks], vec![]));
+}
+
+/// Guards against a controller that answers before it knows: it has just started, one or all at a time.
+#[test]
+fn a_controller_that_has_just_started_answers_nothing_older() {
+    use Trouble::*;
+    holds(|node| {
+        let ends = [3_000, 12_000, 15_500, 19_000, 28_000, 60_000].map(|at| (at, 0, Crash(node)));
+        let all = [(22_000, 0, CrashAll(300)), (40_000, 0, CrashAll(0))];
+        all_day(&[CloseLooks], ends.into_iter().chain(all).collect())
+    });
+}
+
+/// Guards against the owner's own view of a write that is carried out later, while the others and the owners to come
+/// are asked.
+#[test]
+fn asked_closely_while_writes_are_late_and_owners_end() {
+    use Trouble::*;
+    holds(|node| {
+        let meeting = vec![
+            (4_000, 30_000, LateWrites(0.3)),
+            (14_000, 0, Crash(node)),
+            (24_000, 8_000, Refused((node + 1) % NODES)),
+            (45_000, 30_000, LateWrites(0.6)),
+            (52_000, 0, CrashAll(1_000)),
+        ];
+        all_day(&[CloseLooks], meeting)
+    });
+}
+
+/// Guards against answers from memory while the state service is slow, refuses one controller or serves nobody: then
+/// 503, and nothing older.
+#[test]
+fn asked_closely_in_an_outage_and_around_it() {
+    use Trouble::*;
+    holds(|node| {
+        let meeting = vec![
+            (5_000, 12_000, Slow(900)),
+            (20_000, 6_000, Refused(node)),
+            (23_000, 12_000, Outage),
+            (40_000, 9_000, Apart((node + 1) % NODES)),
+            (60_000, 45_000, Outage),
+            (62_000, 0, Crash(node)),
+        ];
+        all_day(&[CloseLooks], meeting)
+    });
+}
+
+/// Guards against two ends of one job: a cancellation, a question or a repeated submission meets the end of its last
+/// task, with no other trouble and with one controller refused.
+#[test]
+fn a_job_called_off_as_it_ends_is_done_or_aborted_for_ever() {
+    use Trouble::*;
+    let habits = |share| [CancelAtEnd(share), CloseLooks];
+    holds(|_| all_day(&habits(0.5), vec![]));
+    holds(|node| all_day(&habits(1.0), vec![(12_000, 40_000, Refused(node))]));
+    let ends = (0..4u64).map(|seed| {
+        let world = play(
+            seed,
+            Sabotage::default(),
+            &all_day(&[CancelAtEnd(1.0)], vec![]),
+        );
+        let off = world
+            .users
+            .iter()
+            .filter(|u| u.wants_cancel && u.cancel_at.is_none());
+        let (done, aborted): (Vec<_>, Vec<_>) = off.partition(|u| u.told_done);
+        (done.len(), aborted.len())
+    });
+    let (done, aborted) = ends.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+    assert!(done > 3 && aborted > 3, "{done} {aborted}");
+}
+
+/// Guards against jobs that are accepted though they cannot run or lack a field, refusals that do not say why, accepted
+/// jobs that a differing repeat is refused for, and ends that a cancellation changes.
+#[test]
+fn odd_requests_are_refused_with_the_reason_and_change_nothing() {
+    use Trouble::*;
+    let habits = [OddRequests, CloseLooks];
+    holds(|node| {
+        let meeting = vec![
+            (12_000, 0, Crash(node)),
+            (20_000, 9_000, Refused((node + 1) % NODES)),
+            (30_000, 10_000, Outage),
+        ];
+        all_day(&habits, meeting)
+    });
+    let world = play(3, Sabotage::default(), &all_day(&habits, vec![]));
+    let kinds = (never_runs().len() + malformed().len()) as u64;
+    assert!(world.odd_refused > 3 * kinds, "{}", world.odd_refused);
+}
+
+/// Jobs that run on, and what is written of them and on the machines, with these reports sent beside the workers' own.
+fn with_odd_reports(fields: &[Value]) -> (Vec<String>, Vec<String>, usize, u64) {
+    let mut world = endless_jobs(5, 6, |_| None);
+    for (n, fields) in fields.iter().enumerate() {
+        for node in 0..NODES {
+            world.impossible_report(60_000 + 50 * n as u64, node, fields.clone());
+        }
+    }
+    world.run(59_000);
+    let before = world.state.dump();
+    world.run(80_000);
+    assert_eq!(world.broken, NEVER);
+    (before, world.state.dump(), running(&world), world.expired())
+}
+
+/// Guards against conclusions from a report that cannot be: 400, and nothing has changed.
+#[test]
+fn reports_that_cannot_be_change_nothing() {
+    let odd = [
+        json!({"Jornada": null}),
+        json!({"Jornada": -1}),
+        json!({"Jornada": 1.5}),
+        json!({"Jornada": "1"}),
+        json!({"Contagem": null}),
+        json!({"Contagem": -1}),
+        json!({"Contagem": 1e30}),
+        json!({"task": {"Tentativa": -1}}),
+        json!({"task": {"Tentativa": 0.5}}),
+        json!({"task": {"Tentativa": null}}),
+        json!({"task": {"Tarefa": "wk-000001"}}),
+        json!({"task": {"Estado": "odd"}}),
+    ];
+    let (before, after, running, expired) = with_odd_reports(&odd);
+    assert_eq!((after, running, expired), (before, 18, 0));
+}
+
+/// Shows that answers are looked at: a controller that tells what was true once and a state service without conditions
+/// go back; a job that loses on its way what it can never have is accepted.
+#[test]
+fn without_their_guards_answers_go_back() {
+    use Trouble::*;
+    let none = Sabotage::default();
+    let old_answers = Sabotage {
+        old_answers: true,
+        ..none
+    };
+    let no_conditions = Sabotage {
+        no_conditions: true,
+        ..none
+    };
+    let no_needs = Sabotage {
+        no_needs: true,
+        ..none
+    };
+    for (sabotage, habits, rules) in [
+        (old_answers, vec![CloseLooks], ["went_back", "forgotten"]),
+        (
+            no_conditions,
+            vec![CloseLooks, CancelAtEnd(1.0)],
+            ["went_back", "forgotten"],
+        ),
+        (no_needs, vec![OddRequests], ["not refused"; 2]),
+    ] {
+        let told = |b: &String| rules.iter().any(|rule| b.starts_with(rule));
+        let red = |seed| play(seed, sabotage, &all_day(&habits, vec![])).broken;
+        assert!((0..8).any(|seed| red(seed).iter().any(told)), "{habits:?}");
+    }
+}
