Red: older answers of one controller, malformed repeats, reports out of range

Cause, for each of the three tests: Gateway::read_done (gateway/reading.rs) answers by what a read brought though the mirror has newer news since: 404 after 201, queued after aborted. Gateway::submit (gateway/submitting.rs) answers 400 before it looks whether the job is known. Report (protocol/worker.rs) takes session 0, attempt 0, a task number of 100,000 and an end without a reason.

Ruled out: the world; a controller's own answers are in one order, and the job's name can be read from each of the repeats.

Conclusion: red as they stand; nothing else of tests/told.rs is.

--- a/crates/world/src/histories.rs
+++ b/crates/world/src/histories.rs
@@ -73,6 +73,13 @@
 }
 
 impl History {
+    /// The answer of the same controller than which this one is older, whenever the questions were asked.
+    fn contradicts(&self, new: &Answer) -> Option<String> {
+        let mut own = self.answers.iter().filter(|a| a.node == new.node);
+        let newer = own.find(|a| a.told > new.told)?;
+        Some(format!("{newer}, then {new}"))
+    }
+
     /// Takes an answer in; the rule that it breaks, if any, and whether it is the first to say this much.
     fn take(&mut self, new: Answer, overlap: bool) -> (Option<&'static str>, bool) {
         let older = |a: &&Answer| {
@@ -142,6 +149,9 @@
             told,
         };
         let user = &mut self.users[u];
+        if let Some(both) = user.history.contradicts(&answer) {
+            self.contradictions.push(format!("{}: {both}", user.job));
+        }
         let (broken, first) = user.history.take(answer, self.ails.overlap);
         let (job, last) = (&user.job, user.history.last());
         if let Some(rule) = broken {
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -220,6 +220,8 @@
     pub starts: u64,
     /// Submissions refused because they need a job nobody submitted.
     pub dangling: u64,
+    /// Controllers that said of a job what is older than what they had said themselves.
+    pub contradictions: Vec<String>,
     /// Odd requests refused as they must be.
     pub odd_refused: u64,
     refused: BTreeSet<usize>,
@@ -326,6 +328,7 @@
             broken: Vec::new(),
             starts: 0,
             dangling: 0,
+            contradictions: Vec::new(),
             odd_refused: 0,
             refused: BTreeSet::new(),
             deaf: BTreeSet::new(),
--- a/crates/world/src/troubles/odd_requests.rs
+++ b/crates/world/src/troubles/odd_requests.rs
@@ -94,6 +94,12 @@
         self.submit_odd(&spec);
     }
 
+    /// Has a user submit a job again with these fields.
+    pub fn repeat(&mut self, u: usize, node: usize, fields: &Value) {
+        let spec = with(&self.users[u].spec, fields);
+        self.question(node, u, Question::Submit, &spec);
+    }
+
     /// Submits a job that must be refused, to all controllers, and asks all about it.
     fn submit_odd(&mut self, spec: &Value) {
         self.ails.odd_jobs += 1;
--- a/tests/told.rs
+++ b/tests/told.rs
@@ -179,3 +179,47 @@
         assert!((0..8).any(|seed| red(seed).iter().any(told)), "{habits:?}");
     }
 }
+
+/// Guards against a controller that says what is older than what it has said itself, to a question that came before: a read
+/// that was answered before a write, or a transaction whose job was called off while its answer was underway.
+#[test]
+fn no_controller_says_what_is_older_than_what_it_has_said() {
+    for seed in 0..9 {
+        let habits = [Trouble::CloseLooks, Trouble::CancelAtEnd(0.5)];
+        let world = play(seed, Sabotage::default(), &all_day(&habits, vec![]));
+        assert_eq!(world.contradictions, NEVER, "seed {seed}");
+    }
+}
+
+/// Guards against an accepted job that a repeated submission is refused for because a field of the repeat is missing or
+/// cannot be: it is known, whatever its repeat says.
+#[test]
+fn a_malformed_repeat_of_an_accepted_job_is_answered_by_its_state() {
+    let mut world = endless_jobs(1, 3, |n| (n == 0).then_some(20_000));
+    world.run(40_000);
+    assert!(world.users.iter().all(|u| u.accepted) && world.users[0].told_cancelled.is_some());
+    let named = malformed().into_iter().filter(|(field, _)| *field != "Ref");
+    for (field, value) in named {
+        for (u, node) in (0..3).flat_map(|u| (0..NODES).map(move |node| (u, node))) {
+            world.repeat(u, node, &json!({field: value}));
+        }
+    }
+    world.run(50_000);
+    assert_eq!(world.broken.first(), None);
+}
+
+/// Guards against a report that cannot be, though its fields are of the right type: sessions start at 1, attempts too,
+/// tasks are numbered below 100,000, and an ended task has a reason.
+#[test]
+fn reports_out_of_range_are_refused() {
+    let odd = [
+        json!({"Jornada": 0}),
+        json!({"task": {"Tentativa": 0}}),
+        json!({"task": {"Tarefa": "wk-000001/100000"}}),
+        json!({"task": {"Estado": "exited", "Motivo": null}}),
+    ];
+    for fields in odd {
+        let (before, after, running, expired) = with_odd_reports(std::slice::from_ref(&fields));
+        assert_eq!((after, running, expired), (before, 18, 0), "{fields}");
+    }
+}
