What is known of a job goes before what was read; malformed repeats of accepted jobs

Cause: an answer of the state service that was underway while a job was accepted or ended was told as it was read, though this controller had told its user something newer: 404 after 201, queued after aborted. A submission with a field that is wrong or missing got 400 before anybody looked whether its job had been accepted. Ruled out: the world's order of answers; the polls' comparison.

--- a/crates/model/src/protocol/user.rs
+++ b/crates/model/src/protocol/user.rs
@@ -7,7 +7,7 @@
 /// Most tasks that one job may have.
 pub const MAX_TASKS: u64 = 100_000;
 
-#[derive(Debug, thiserror::Error, PartialEq)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, thiserror::Error)]
 #[error("{field}: {why}")]
 pub struct BadField {
     pub field: &'static str,
@@ -98,6 +98,13 @@
     Ok(names)
 }
 
+/// The job that a submission names, whatever else is wrong with it.
+pub fn named(body: &[u8]) -> Option<JobId> {
+    let value: Value = serde_json::from_slice(body).ok()?;
+    let id = value.get("Ref")?.as_str().filter(|id| is_job_id(id))?;
+    Some(JobId::new(id))
+}
+
 /// Reads a submission; the error names the field that is wrong.
 pub fn parse_submission(body: &[u8]) -> Result<Submission, BadField> {
     let value: Value = serde_json::from_slice(body).map_err(|_| BadField {
--- a/src/coordination/controller/requests.rs
+++ b/src/coordination/controller/requests.rs
@@ -41,9 +41,7 @@
             ("POST", "/checkin") => self.check_in(conn, &request.body),
             ("POST", "/api/jobs") => {
                 let mut gateway = std::mem::take(&mut self.gateway);
-                if self.state_silent_ms() >= UNSERVED_MS
-                    && user::parse_submission(&request.body).is_ok()
-                {
+                if self.state_silent_ms() >= UNSERVED_MS && user::named(&request.body).is_some() {
                     let later = Response::later(503, "the state service is away", 2);
                     self.out.respond(conn, later);
                 } else {
--- a/src/coordination/env.rs
+++ b/src/coordination/env.rs
@@ -12,6 +12,7 @@
 use snowshelf_model::ids::{CallId, ConnId, JobId, MachineId, Member, Millis, PartId, Token};
 use snowshelf_model::protocol::cloud::{MachineType, release_body};
 use snowshelf_model::protocol::state::Txn;
+use snowshelf_model::protocol::user::BadField;
 use snowshelf_model::records::{Capability, JobRecord, RunId, Terms};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -78,6 +79,8 @@
     Resubmit,
     /// A submission that can never run, unless the job was accepted before; the reason.
     Refuse(&'static str),
+    /// A submission with a field that is wrong or missing, unless the job was accepted before.
+    Malformed(BadField),
     Cancel,
 }
 
--- a/src/coordination/gateway/reading.rs
+++ b/src/coordination/gateway/reading.rs
@@ -12,6 +12,7 @@
 use snowshelf_model::protocol::user;
 use snowshelf_model::records::{JobRecord, JobState, job_key};
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
 /// How long polls gather to share a request, and how long its answer may take.
 const POLLS_GATHER_MS: u64 = 25;
@@ -49,7 +50,9 @@
     pub(super) fn read_alone(&mut self, conn: ConnId, job: &JobId, why: ReadFor, env: &mut Env) {
         let class = match why {
             ReadFor::Poll => Class::Reads,
-            ReadFor::Resubmit | ReadFor::Refuse(_) | ReadFor::Cancel => Class::Accept,
+            ReadFor::Resubmit | ReadFor::Refuse(_) | ReadFor::Malformed(_) | ReadFor::Cancel => {
+                Class::Accept
+            }
         };
         if !env.store.may(env.now(), class, 0) {
             let later = Response::later(503, "too many requests", 1);
@@ -172,7 +175,9 @@
                 };
                 user::full(job, word, done, 0)
             }
-            ReadFor::Resubmit | ReadFor::Refuse(_) | ReadFor::Cancel => user::brief(job, word),
+            ReadFor::Resubmit | ReadFor::Refuse(_) | ReadFor::Malformed(_) | ReadFor::Cancel => {
+                user::brief(job, word)
+            }
         };
         self.cancel_tries.remove(&conn);
         env.out.respond(conn, Response::new(200, body));
@@ -186,17 +191,17 @@
         result: GetResult,
         env: &mut Env,
     ) {
-        let item = match result {
-            GetResult::Found(item) => item,
-            GetResult::Missing(_) => {
-                self.cancel_tries.remove(&conn);
-                let (status, text) = match why {
-                    ReadFor::Refuse(why) => (422, why),
-                    _ => (404, "no such job"),
+        let read = match result {
+            GetResult::Found(item) => {
+                let Ok(record) = JobRecord::deserialize(&item.value) else {
+                    let later = Response::later(503, "the job's record cannot be read", 5);
+                    env.out.respond(conn, later);
+                    return;
                 };
-                env.out.respond(conn, Response::error(status, text));
-                return;
+                env.mirror.apply(&item.key, Some(&item.value), item.version);
+                Some((Rc::new(record), item.version))
             }
+            GetResult::Missing(_) => None,
             GetResult::Failed => {
                 self.cancel_tries.remove(&conn);
                 let later = Response::later(503, "the state service did not answer", 1);
@@ -204,23 +209,44 @@
                 return;
             }
         };
-        let Ok(record) = JobRecord::deserialize(&item.value) else {
-            let later = Response::later(503, "the job's record cannot be read", 5);
-            env.out.respond(conn, later);
-            return;
-        };
-        env.mirror.apply(&item.key, Some(&item.value), item.version);
-        // Guards against an answer that was underway while the job ended, and while its user was told so here.
+        // Guards against an answer that was underway while the job was accepted or ended, and its user told so here:
+        // what is known here goes first where it is newer.
         let ended = env.mirror.final_of(job);
-        if let Some(end) = ended.or(record.is_final().then(|| Final::of(&record))) {
+        let ended = ended.or_else(|| {
+            read.as_ref()
+                .filter(|r| r.0.is_final())
+                .map(|r| Final::of(&r.0))
+        });
+        if let Some(end) = ended {
             self.tell_final(conn, job, end, why, env);
             return;
         }
+        let known = env
+            .mirror
+            .jobs
+            .get(job)
+            .map(|v| (v.value.clone(), v.version));
+        let newest = read
+            .into_iter()
+            .chain(known)
+            .max_by_key(|(_, version)| *version);
+        let Some((record, version)) = newest else {
+            self.cancel_tries.remove(&conn);
+            let refused = match why {
+                ReadFor::Refuse(why) => Response::error(422, why),
+                ReadFor::Malformed(why) => Response::error(400, &why.to_string()),
+                _ => Response::error(404, "no such job"),
+            };
+            env.out.respond(conn, refused);
+            return;
+        };
         // Whoever asks for a job that needs a cancelled one is not told that it waits: it is
         // cancelled first.
         let doomed = env.graph.doomed.contains(job);
         match why {
-            ReadFor::Poll | ReadFor::Resubmit | ReadFor::Refuse(_) if !doomed => {
+            ReadFor::Poll | ReadFor::Resubmit | ReadFor::Refuse(_) | ReadFor::Malformed(_)
+                if !doomed =>
+            {
                 self.tell_open(conn, job, &record, why, env);
             }
             _ => {
@@ -234,7 +260,7 @@
                 self.next += 1;
                 let tries = self.cancel_tries.remove(&conn).unwrap_or(0);
                 let txn = Txn::default()
-                    .when(job_key(job), item.version)
+                    .when(job_key(job), version)
                     .then(Change::write(job_key(job), &next));
                 let cancel = Cancel {
                     conn,
--- a/src/coordination/gateway/submitting.rs
+++ b/src/coordination/gateway/submitting.rs
@@ -24,8 +24,14 @@
             Ok(parsed) => parsed,
             Err(error) => {
                 tracing::info!(%error, "submission is malformed");
-                env.out
-                    .respond(conn, Response::error(400, &error.to_string()));
+                match user::named(body) {
+                    // Guards against forgetting a job that was accepted: only the state service knows that it was not.
+                    Some(job) => self.read(conn, &job, ReadFor::Malformed(error), env),
+                    None => {
+                        let refused = Response::error(400, &error.to_string());
+                        env.out.respond(conn, refused);
+                    }
+                }
                 return;
             }
         };
