The tests' world gets seven more troubles; meetings of reports, leaders and outages

Cause: the world could not lose just an answer, keep reports for the next owner, or make machines and controllers mute, hung or cut off together, so no test brought such meetings about. Change: AnswersLost, KeptReports, MuteMachines, HungMachines, CancelNow, ZoneCut and AllDown, a module each; every worker has an address of its own and obeys direct commands by the protocol; a call to a worker or out of a cut gets no answer after its timeout.

--- a/crates/world/src/cloud.rs
+++ b/crates/world/src/cloud.rs
@@ -123,7 +123,7 @@
             .iter()
             .filter(|(name, m)| now > m.at + 3_000 && name.as_str() > after)
             .map(|(name, m)| {
-                json!({"Ref": name, "Address": "10.1.0.1:1", "Modelo": m.model, "Parcela": m.zone,
+                json!({"Ref": name, "Address": super::direct::address(name), "Modelo": m.model, "Parcela": m.zone,
                     "Avulsas": m.spot, "Estado": m.state(now),
                     "AgeS": (now - m.at) as f64 / 1000.0})
             })
--- a/crates/world/src/events.rs
+++ b/crates/world/src/events.rs
@@ -25,6 +25,9 @@
     Refuse(usize, bool),
     Unserved(usize, bool),
     Ails(Trouble, bool),
+    ZoneCut(&'static str, usize, bool),
+    /// A user asks for a cancellation now.
+    CallOff(usize),
     /// A late copy of a report, and an answer that was held up.
     Copy(usize, Vec<u8>),
     Held(String, u64, u16, Vec<u8>),
@@ -75,10 +78,9 @@
                                 .call(self.now, (node, life, id.0), method, &path, &body)
                         }
                     }
+                    Target::Cloud if self.is_cut_off(node) => None,
                     Target::Cloud => Some(self.cloud_call(method, &path, &body)),
-                    Target::Worker(_) if self.deaf.contains(&node) => None,
-                    Target::Worker(_) if path == "/status" => Some((200, b"{}".to_vec())),
-                    Target::Worker(_) => Some((409, b"{}".to_vec())),
+                    Target::Worker(to) => self.direct(node, to, &path, &body),
                 };
                 let wrote = matches!(target, Target::State) && path == "/txn";
                 let wrote = wrote && String::from_utf8_lossy(&body).contains("\"Apply\"");
@@ -98,6 +100,7 @@
                     );
                 }
                 self.wake_watchers();
+                self.owners_begin();
             }
             Event::Answer(i, life, id, result) => {
                 if self.nodes[i].life == life {
@@ -125,13 +128,15 @@
                 self.state.write_rate = Some(NEXT_RATE);
             }
             Event::Restart(i) => {
-                if self.nodes[i].controller.is_none() {
+                if self.nodes[i].controller.is_none() && !self.ails.all_down {
                     self.restart(i);
                 }
             }
             Event::Refuse(i, on) => switch(&mut self.refused, i, on),
             Event::Unserved(i, on) => switch(&mut self.ails.unserved, i, on),
             Event::Ails(trouble, on) => self.ail(trouble, on),
+            Event::ZoneCut(zone, node, on) => self.zone_cut(zone, node, on),
+            Event::CallOff(u) => self.call_off(u),
             Event::Copy(node, body) => self.copy_arrives(node, body),
             Event::Held(name, number, status, body) => {
                 self.worker_hears(&name, number, status, &body)
@@ -159,7 +164,7 @@
             Event::Hang(name, ms) => {
                 let until = self.now + ms;
                 if let Some(w) = self.workers.get_mut(&name) {
-                    w.hung_until = until;
+                    w.hung_until = w.hung_until.max(until);
                     self.at(until, Event::WorkerWakes(name.clone()));
                     self.at(until, Event::Report(name));
                 }
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -4,6 +4,7 @@
 mod asking;
 pub mod booking;
 pub mod cloud;
+mod direct;
 pub mod draining;
 mod events;
 pub mod frozen;
@@ -65,6 +66,10 @@
     pub no_order: bool,
     /// Submissions lose the jobs that they need on their way.
     pub no_needs: bool,
+    /// The state service confirms what it does not carry out, where only its answer would be lost.
+    pub false_answers: bool,
+    /// Workers keep what they have though their lease has run out.
+    pub no_leases: bool,
 }
 
 /// How rough the network and the surroundings are.
@@ -166,6 +171,13 @@
     Drained(usize),
 }
 
+impl Asked {
+    /// Whether this reaches a controller that may be cut off with a zone, and its answer the asker.
+    fn is_heard(&self, cut_off: bool) -> bool {
+        !cut_off || matches!(self, Asked::Worker(..) | Asked::Nobody)
+    }
+}
+
 pub struct World {
     pub now: u64,
     pub rng: StdRng,
--- a/crates/world/src/machines.rs
+++ b/crates/world/src/machines.rs
@@ -39,6 +39,7 @@
         let start = self.rng.random_range(0..NODES);
         let mut worker = Worker::new(name, &machine, start, self.now);
         worker.run_ms = self.run_ms;
+        worker.no_leases = self.sabotage.no_leases;
         worker.spread_ms = self.spread_ms;
         worker.bad = self.bad_jobs.clone();
         worker.endless = self.endless.clone();
@@ -74,7 +75,9 @@
         let (number, node, body) = w.begin_report(now);
         let asked = Asked::Worker(name.to_string(), number);
         let zone = self.workers.get(name).map(|w| &w.zone);
-        let unheard = self.deaf.contains(&node) || (zone.is_some() && zone == self.cut.as_ref());
+        let unheard = self.ails.mute_machines.contains(name)
+            || zone.is_some_and(|zone| self.is_between(zone, node));
+        self.keep_report(name, &body);
         if !unheard {
             self.copy_report(node, &body);
         }
@@ -93,7 +96,7 @@
 
     pub(crate) fn worker_hears(&mut self, name: &str, number: u64, status: u16, body: &[u8]) {
         let now = self.now;
-        let deaf = |w: &Worker| self.deaf.contains(&w.node) || self.cut.as_ref() == Some(&w.zone);
+        let deaf = |w: &Worker| self.is_between(&w.zone, w.node);
         let lost = self.workers.get(name).is_some_and(deaf)
             || self.ails.deaf_machines.contains(name)
             || (now < self.quiet_at && self.rng.random_bool(self.weather.lost));
--- a/crates/world/src/meetings.rs
+++ b/crates/world/src/meetings.rs
@@ -53,15 +53,32 @@
     world
 }
 
+/// The meeting's moments shifted by seconds.
+pub fn shifted(seed: u64, mut meeting: Meeting) -> Meeting {
+    for (n, (at, _, _)) in meeting.iter_mut().enumerate() {
+        *at += n as u64 * 700 * (seed / 3) + 130 * seed;
+    }
+    meeting
+}
+
 /// Holds every rule against a meeting, its moments shifted by seconds, and has every user hear the end.
 #[track_caller]
 pub fn holds(meeting: impl Fn(usize) -> Meeting) {
     for seed in 0..9u64 {
-        let node = seed as usize % NODES;
-        let mut shifted = meeting(node);
-        for (n, (at, _, _)) in shifted.iter_mut().enumerate() {
-            *at += n as u64 * 700 * (seed / 3) + 130 * seed;
+        let meeting = shifted(seed, meeting(seed as usize % NODES));
+        play(seed, Sabotage::default(), &meeting).assert_sound(seed);
+    }
+}
+
+/// The same where all machines have tasks without end, all of which are called off when the troubles are over.
+#[track_caller]
+pub fn holds_without_end(meeting: impl Fn(usize) -> Meeting) {
+    for seed in 0..9u64 {
+        let mut world = endless_jobs(seed, 12, |n| Some(OVER_MS + 300 * n as u64));
+        for (at, for_ms, trouble) in shifted(seed, meeting(seed as usize % NODES)) {
+            world.bring(at, for_ms, trouble);
         }
-        play(seed, Sabotage::default(), &shifted).assert_sound(seed);
+        world.run(OVER_MS + 60_000);
+        world.assert_sound(seed);
     }
 }
--- a/crates/world/src/nodes.rs
+++ b/crates/world/src/nodes.rs
@@ -59,7 +59,8 @@
             match output {
                 Output::Respond(conn, response) => {
                     let ms = self.hop();
-                    if let Some(asked) = self.asked.remove(&(i, life, conn.0)) {
+                    let asked = self.asked.remove(&(i, life, conn.0));
+                    if let Some(asked) = asked.filter(|a| a.is_heard(self.is_cut_off(i))) {
                         self.answered(asked, response.status, response.body, ms);
                     }
                 }
@@ -75,19 +76,33 @@
                     let lost = !quiet && self.rng.random_bool(self.weather.lost);
                     let late = lost && self.rng.random_bool(self.weather.late);
                     let held_ms = self.write_is_late(&path, &body);
-                    let (lost, late) = (lost || held_ms.is_some(), late || held_ms.is_some());
+                    let at_once = target == Target::State && self.answer_is_lost(&path, &body);
+                    let aimed = held_ms.is_some() || at_once;
+                    let (lost, late) = (lost || aimed, late || aimed);
                     let mut ms = self.hop() + held_ms.unwrap_or(0);
-                    if late && held_ms.is_none() {
+                    if late && !aimed {
                         ms += self.rng.random_range(1_000..15_000u64);
                     }
                     let slow = self.ails.slow_ms > 0 && target == Target::State;
                     if slow {
                         ms += self.rng.random_range(0..self.ails.slow_ms);
                     }
-                    // A watch, or a call of a controller that is cut off, may hang.
-                    let hangs =
-                        slow || path.starts_with("/changes") || self.ails.unserved.contains(&i);
-                    if lost || (hangs && target == Target::State) {
+                    // A watch, a call of a controller that is cut off or one to a worker may hang.
+                    let hangs = match target {
+                        Target::State => {
+                            slow || path.starts_with("/changes") || self.ails.unserved.contains(&i)
+                        }
+                        Target::Cloud => self.is_cut_off(i),
+                        Target::Worker(_) => true,
+                    };
+                    if at_once && self.sabotage.false_answers {
+                        let body = json!({"Safra": self.state.revision}).to_string();
+                        let (status, body) = (200, body.into_bytes());
+                        let result = CallResult::Answer { status, body };
+                        self.after(ms, Event::Answer(i, life, id, result));
+                        continue;
+                    }
+                    if lost || hangs {
                         let result = CallResult::Lost;
                         self.after(timeout_ms, Event::Answer(i, life, id, result));
                     }
@@ -139,7 +154,7 @@
         body: Vec<u8>,
         asked: Asked,
     ) -> bool {
-        if self.nodes[node].controller.is_none() {
+        if self.nodes[node].controller.is_none() || !asked.is_heard(self.is_cut_off(node)) {
             return false;
         }
         self.next_conn += 1;
--- a/crates/world/src/state.rs
+++ b/crates/world/src/state.rs
@@ -348,6 +348,13 @@
             .collect()
     }
 
+    /// The key of each part that has an owner, and the owner's token.
+    pub fn tokens(&self) -> BTreeMap<String, u64> {
+        let parts = self.keys.range("part/".to_string()..);
+        let parts = parts.take_while(|(key, _)| key.starts_with("part/"));
+        parts.map(|(key, k)| (key.clone(), k.version)).collect()
+    }
+
     pub fn value(&self, key: &str) -> Option<Value> {
         self.keys.get(key).map(|k| k.value.clone())
     }
--- a/crates/world/src/troubles/mod.rs
+++ b/crates/world/src/troubles/mod.rs
@@ -1,10 +1,17 @@
 //! What goes wrong in the world, and when.
 
+mod all_down;
+mod answers_lost;
 mod apart;
+mod cancel_now;
 mod deaf_machines;
 mod held_answers;
+mod hung_machines;
+mod kept_reports;
 mod late_reports;
 mod late_writes;
+mod mute_machines;
+mod zone_cut;
 
 use super::{Event, NODES, World};
 use rand::RngExt;
@@ -38,6 +45,20 @@
     /// A controller ends; all do, within so many milliseconds.
     Crash(usize),
     CrashAll(u64),
+    /// Of that share of the transactions only the answer is lost.
+    AnswersLost(f64),
+    /// Of that share of the reports a copy is kept for the next owner of the machine's part, and all others.
+    KeptReports(f64),
+    /// That share of the machines reaches no controller, and hears direct commands.
+    MuteMachines(f64),
+    /// That share of the machines hangs, each for a time of its own.
+    HungMachines(f64),
+    /// So many jobs that run are cancelled, and up to eight of their machines hang for so many milliseconds.
+    CancelNow(usize, u64),
+    /// The workers of a zone and a controller are cut off together.
+    ZoneCut(&'static str, usize),
+    /// All controllers are away.
+    AllDown,
 }
 
 /// What ails the world just now, beside its nodes.
@@ -50,6 +71,11 @@
     pub deaf_machines: BTreeSet<String>,
     /// Controllers that the state service does not hear, nor they it.
     pub unserved: BTreeSet<usize>,
+    pub answers_lost: f64,
+    pub kept: kept_reports::KeptReports,
+    pub mute_machines: BTreeSet<String>,
+    pub zone_cuts: Vec<(&'static str, usize)>,
+    pub all_down: bool,
 }
 
 impl World {
@@ -70,11 +96,8 @@
                     self.crash_at(at + after, node);
                 }
             }
-            Trouble::LateWrites(_)
-            | Trouble::LateReports(_)
-            | Trouble::DeafMachines(_)
-            | Trouble::HeldAnswers(_)
-            | Trouble::Slow(_) => {
+            Trouble::ZoneCut(zone, node) => self.zone_cut_at(at, until, zone, node),
+            _ => {
                 self.at(at, Event::Ails(trouble, true));
                 self.at(until, Event::Ails(trouble, false));
             }
@@ -89,10 +112,23 @@
             Trouble::HeldAnswers(share) => self.ails.held_answers = now(share),
             Trouble::Slow(ms) => self.ails.slow_ms = if on { ms } else { 0 },
             Trouble::DeafMachines(share) => self.deafen(now(share)),
+            Trouble::AnswersLost(share) => self.ails.answers_lost = now(share),
+            Trouble::KeptReports(share) => self.keep_reports(now(share)),
+            Trouble::MuteMachines(share) => self.silence_machines(now(share)),
+            Trouble::HungMachines(share) => self.hang_some(now(share)),
+            Trouble::CancelNow(count, hang_ms) if on => self.cancel_now(count, hang_ms),
+            Trouble::AllDown => self.all_down(on),
             _ => {}
         }
     }
 
+    /// That share of the machines.
+    fn draw_machines(&mut self, share: f64) -> Vec<String> {
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        let drawn = names.into_iter();
+        drawn.filter(|_| self.rng.random_bool(share)).collect()
+    }
+
     /// Lets a controller crash, to come back a while later.
     pub fn crash_at(&mut self, at: u64, node: usize) {
         self.at(at, Event::Crash(node));
--- a/crates/world/src/workers.rs
+++ b/crates/world/src/workers.rs
@@ -40,6 +40,7 @@
     pub hung_until: u64,
     pub next_report: u64,
     pub sick: bool,
+    pub no_leases: bool,
     /// How long a task runs, about.
     pub run_ms: u64,
     /// How much longer a job's second and third task run than the one before; the others like these.
@@ -73,6 +74,7 @@
             hung_until: 0,
             next_report: 0,
             sick: false,
+            no_leases: false,
             run_ms: 3_000,
             spread_ms: 0,
             bad: BTreeSet::new(),
@@ -93,7 +95,7 @@
 
     /// Without an answered report for a lease, everything is killed and a new session begins; whether so.
     pub fn expire(&mut self, now: u64) -> bool {
-        if now > self.lease_from + LEASE_MS {
+        if now > self.lease_from + LEASE_MS && !self.no_leases {
             self.tasks.clear();
             self.session += 1;
             self.seq = 0;
@@ -104,11 +106,16 @@
     }
 
     pub fn begin_report(&mut self, now: u64) -> (u64, usize, Vec<u8>) {
-        self.seq += 1;
         self.number += 1;
         self.sent = now;
         self.sent_session = self.session;
         self.in_flight = Some(self.number);
+        (self.number, self.node, self.now_says(now))
+    }
+
+    /// A report, or the answer to a direct call.
+    pub fn now_says(&mut self, now: u64) -> Vec<u8> {
+        self.seq += 1;
         let tasks: Vec<Value> = self
             .tasks
             .iter()
@@ -117,10 +124,9 @@
                     "Motivo": (t.state == "exited").then_some(t.why)})
             })
             .collect();
-        let body = json!({"Prensa": self.name, "Address": "10.1.0.1:1", "Modelo": self.model,
+        json!({"Prensa": self.name, "Address": super::direct::address(&self.name), "Modelo": self.model,
             "Parcela": self.zone, "Avulsas": self.spot, "Jornada": self.session,
-            "Contagem": self.seq, "Selo": self.token, "AvisoS": self.taken_at.map(|at| at.saturating_sub(now) as f64 / 1000.0), "Tarefas": tasks});
-        (self.number, self.node, body.to_string().into_bytes())
+            "Contagem": self.seq, "Selo": self.token, "AvisoS": self.taken_at.map(|at| at.saturating_sub(now) as f64 / 1000.0), "Tarefas": tasks}).to_string().into_bytes()
     }
 
     /// Takes a 200 in; true if something changed.
@@ -130,9 +136,26 @@
         if self.sent_session != self.session || (token < self.token && !no_tokens) {
             return false;
         }
+        self.lease_from = self.sent;
+        self.obey(now, body)
+    }
+
+    /// Takes commands in that were sent straight here; the status.
+    pub fn ordered(&mut self, now: u64, body: &Value) -> u16 {
+        let (Some(token), Some(session)) = (body["Selo"].as_u64(), body["Jornada"].as_u64()) else {
+            return 400;
+        };
+        if token < self.token || session != self.session {
+            return 409;
+        }
+        self.obey(now, body);
+        200
+    }
+
+    fn obey(&mut self, now: u64, body: &Value) -> bool {
+        let token = body["Selo"].as_u64().unwrap_or(0);
         let mut changed = token > self.token;
         self.token = self.token.max(token);
-        self.lease_from = self.sent;
         for order in body["Ordens"].as_array().into_iter().flatten() {
             let name = order["Tarefa"].as_str().unwrap_or("").to_string();
             let attempt = order["Tentativa"].as_u64().unwrap_or(0);
