--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -233,7 +233,7 @@
 fn draw_trouble(rng: &mut StdRng) -> Trouble {
     let node = rng.random_range(0..NODES);
     let share = [0.1, 0.3, 0.7][rng.random_range(0..3usize)];
-    match rng.random_range(0..13u32) {
+    match rng.random_range(0..20u32) {
         0 => Trouble::LateWrites(share),
         1 => Trouble::LateReports(share),
         2 => Trouble::DeafMachines(share),
@@ -246,6 +246,13 @@
         9 => Trouble::Crash(node),
         10 => Trouble::Cut(["a", "b"][node % 2]),
         11 => Trouble::Slow([300, 1_500, 4_000][node]),
+        12 => Trouble::AnswersLost(share),
+        13 => Trouble::KeptReports(share),
+        14 => Trouble::MuteMachines(share),
+        15 => Trouble::HungMachines(share),
+        16 => Trouble::CancelNow(2 + 3 * node, [0, 3_000, 9_000][rng.random_range(0..3usize)]),
+        17 => Trouble::ZoneCut(["a", "b"][rng.random_range(0..2usize)], node),
+        18 => Trouble::AllDown,
         _ => Trouble::CrashAll([0, 300, 2_000][rng.random_range(0..3usize)]),
     }
 }
