The world gives up calls that a cut has caught underway

A call to the state service that was sent up to 5 ms before a controller was cut off and arrived after it was neither answered nor given up, so the part's writer waited for ever for an answer; transport gives every call up after its timeout. Change: such a call is lost 2 s later.

--- a/crates/world/src/events.rs
+++ b/crates/world/src/events.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// When a call is given up that a cut has caught underway.
+const GIVEN_UP_MS: u64 = 2_000;
+
 pub(crate) enum Event {
     Tick(usize, u64),
     Arrive {
@@ -90,6 +93,15 @@
                         self.handle(Event::Crash(node));
                     }
                 }
+                // A cut that began while the call was underway: it is given up like one that was sent later.
+                let lost = match target {
+                    Target::State => self.ails.unserved.contains(&node),
+                    Target::Cloud => self.is_cut_off(node),
+                    Target::Worker(_) => false,
+                };
+                if lost {
+                    self.after(GIVEN_UP_MS, Event::Answer(node, life, id, CallResult::Lost));
+                }
                 if let Some((status, body)) = reply
                     && answered
                 {
