--- a/crates/world/src/troubles/close_looks.rs
+++ b/crates/world/src/troubles/close_looks.rs
@@ -18,7 +18,7 @@
         }
         self.look_around(u);
         if accepted && !self.users[u].by_run && self.rng.random_bool(AT_ONCE) {
-            self.call_off(u, WITHIN_MS);
+            self.call_off_within(u, WITHIN_MS);
         }
     }
 
@@ -33,7 +33,7 @@
     }
 
     /// Calls a job off, within so many milliseconds.
-    fn call_off(&mut self, u: usize, within_ms: u64) {
+    fn call_off_within(&mut self, u: usize, within_ms: u64) {
         let node = self.rng.random_range(0..NODES);
         let ms = self.rng.random_range(0..within_ms);
         self.after(ms, Event::Look(u, node, Question::Cancel));
@@ -67,7 +67,7 @@
             return;
         }
         let moment = match self.rng.random_range(0..3u32) {
-            0 if off => return self.call_off(u, 900),
+            0 if off => return self.call_off_within(u, 900),
             1 => job,
             _ => machine,
         };
@@ -80,7 +80,7 @@
         for (u, off) in self.ails.ends.remove(moment).unwrap_or_default() {
             self.look_around(u);
             if off {
-                self.call_off(u, 12);
+                self.call_off_within(u, 12);
             }
         }
     }
