Red: a job taken twice in one transaction

Cause: Gateway::accepted (gateway/accepting.rs) takes up again what shared a transaction with a job known already. Gateway::submit looks for a repeat in what waits, not in what is underway (batches), so a repeat that came in those milliseconds waits too: the next transaction holds the job twice, each time divided anew. Both divisions are written, the record names the parts of the last.

Ruled out: two controllers; each transaction is on condition that no such job is accepted.

Conclusion: both tests are red as the sources stand.

--- a/tests/told.rs
+++ b/tests/told.rs
@@ -4,7 +4,7 @@
 use snowshelf_world::meetings::{Meeting, endless_jobs, holds, play, running};
 use snowshelf_world::troubles::Trouble;
 use snowshelf_world::troubles::odd_requests::{malformed, never_runs};
-use snowshelf_world::{NODES, Sabotage};
+use snowshelf_world::{NODES, Sabotage, Weather, World};
 
 const NEVER: Vec<String> = Vec::new();
 
@@ -223,3 +223,37 @@
         assert_eq!((after, running, expired), (before, 18, 0), "{fields}");
     }
 }
+
+/// Guards against a job that is taken twice in one transaction: it shares one with a job that is known already, is taken up
+/// again after that conflict, and its repeat has come meanwhile. Two divisions of its tasks would both be written, and the
+/// owner of the part that the job does not name could write nothing more.
+#[test]
+fn a_job_submitted_again_while_its_batch_meets_a_conflict_is_taken_once() {
+    use Trouble::*;
+    let (until, looks) = (139_000, 9_790);
+    let habits = vec![(5_590, until, CancelAtEnd(1.0)), (looks, until, CloseLooks)];
+    let found = habits.into_iter().chain([(12_390, 40_000, Refused(2))]);
+    play(83, Sabotage::default(), &found.collect()).assert_sound(83);
+}
+
+/// The same with nothing but these questions: each of the later jobs shares a transaction with a repeat of the first.
+#[test]
+fn a_job_is_taken_once_whenever_its_repeat_comes() {
+    for ms in 1..15u64 {
+        let mut world = World::new(ms, Weather::CALM, Sabotage::default(), 0, 60_000);
+        world.add_user(2_000, json!({}));
+        let first = world.users[0].job.clone();
+        world.endless.insert(first);
+        for n in 1..5 {
+            world.add_user(20_000, json!({"Tarefas": 4}));
+            world.run(7_000 + 200 * n);
+            world.repeat(0, 0, &json!({}));
+            world.repeat(n as usize, 0, &json!({}));
+            world.run(7_000 + 200 * n + ms);
+            world.repeat(n as usize, 0, &json!({}));
+        }
+        world.run(100_000);
+        let done = world.users[1..].iter().all(|user| user.told_done);
+        assert_eq!((&world.broken, done), (&NEVER, true), "{ms}");
+    }
+}
