A job is queued once, also where its repeat comes while its transaction conflicts

Cause: a transaction that holds a new job and the repeat of a known one conflicts; the new one goes back to the queue, beside its own repeat that has come meanwhile. The next transaction holds it twice, divided anew each time: shares that its record does not name, tasks that run twice (ran_twice), and a share that can never be closed. Ruled out: the state service's conditions; late writes (no fault is needed). Change: what goes back joins the waiting entry of the same job.

--- a/src/coordination/gateway/accepting.rs
+++ b/src/coordination/gateway/accepting.rs
@@ -175,6 +175,10 @@
                         for conn in accept.conns {
                             self.read(conn, &accept.job, ReadFor::Resubmit, env);
                         }
+                    } else if let Some(same) = self.waiting().find(|a| a.job == accept.job) {
+                        // Guards against a transaction that holds a job twice, divided anew each time: its repeat
+                        // has come while this one was underway.
+                        same.conns.extend(accept.conns);
                     } else {
                         self.queue.push_front(accept);
                     }
--- a/src/coordination/gateway/submitting.rs
+++ b/src/coordination/gateway/submitting.rs
@@ -93,7 +93,7 @@
     }
 
     /// Everything taken in and not yet sent to be written.
-    fn waiting(&mut self) -> impl Iterator<Item = &mut Accept> {
+    pub(super) fn waiting(&mut self) -> impl Iterator<Item = &mut Accept> {
         let checked = self.checking.values_mut().map(|(a, _)| a);
         let divided = self.dividing.values_mut().map(|d| &mut d.accept);
         self.queue.iter_mut().chain(checked).chain(divided)
