The tests' world holds that no job is left waiting while a machine with room fits it

Once all troubles are over no job may wait for 90 s while a machine that fits has room and its team is under its limit; nothing looked at that. A job with Together or Apart of which something is on a machine is not looked at: its rest stays with the part that holds it, by design.

Ruled out: counting any room at any moment, which full machines show between two tasks.

Sabotage: controllers that are told half of the limits.

--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod running;
 pub mod state;
 pub mod troubles;
+mod waits;
 pub mod workers;
 
 use cloud::Cloud;
@@ -70,6 +71,8 @@
     pub false_answers: bool,
     /// Workers keep what they have though their lease has run out.
     pub no_leases: bool,
+    /// Controllers are told half of the teams' limits.
+    pub half_limits: bool,
 }
 
 /// How rough the network and the surroundings are.
@@ -235,6 +238,7 @@
     cut: Option<String>,
     outage: bool,
     pub(crate) ails: troubles::Ails,
+    waits: waits::Waits,
     /// How much longer a job's second and third task run than the one before; the others like these.
     pub spread_ms: u64,
     quiet_at: u64,
@@ -336,6 +340,7 @@
             cut: None,
             outage: false,
             ails: troubles::Ails::default(),
+            waits: waits::Waits::default(),
             spread_ms: 0,
             quiet_at,
         };
--- a/crates/world/src/nodes.rs
+++ b/crates/world/src/nodes.rs
@@ -30,8 +30,9 @@
                 })
                 .into();
         }
+        let told = if self.sabotage.half_limits { 0.5 } else { 1.0 };
         node.controller = Some(Controller::new(
-            settings(i, self.team_limit),
+            settings(i, told * self.team_limit),
             ops,
             Millis(1),
         ));
--- a/crates/world/src/rules.rs
+++ b/crates/world/src/rules.rs
@@ -84,6 +84,7 @@
             broken.push(format!("too large for the state service: {large}"));
         }
         self.broken.extend(broken);
+        self.check_waits();
     }
 
     /// Jobs whose users have heard the end.
