--- a/crates/world/src/troubles/mod.rs
+++ b/crates/world/src/troubles/mod.rs
@@ -6,6 +6,7 @@
 mod cancel_now;
 mod close_looks;
 mod deaf_machines;
+mod dying_machines;
 mod held_answers;
 mod hung_machines;
 mod kept_reports;
@@ -13,6 +14,8 @@
 mod late_writes;
 mod mute_machines;
 pub mod odd_requests;
+mod quick_boots;
+mod slow_links;
 mod zone_cut;
 
 use super::{Event, NODES, World};
@@ -30,6 +33,12 @@
     DeafMachines(f64),
     /// That share of the answers to workers is held up.
     HeldAnswers(f64),
+    /// That share of the machines dies, within two seconds.
+    DyingMachines(f64),
+    /// Machines rented now are up within two seconds.
+    QuickBoots,
+    /// Reports and their answers are underway for up to so many milliseconds, and at least for half of that.
+    SlowLinks(u64),
     /// The state service refuses one controller.
     Refused(usize),
     /// It serves nobody.
@@ -85,6 +94,8 @@
     /// Jobs whose end is asked about, and maybe called off, as a machine of this name reports or as the end of the
     /// job of this name is written.
     pub ends: BTreeMap<String, Vec<(usize, bool)>>,
+    pub slow_links_ms: u64,
+    pub quick_boots: bool,
     pub deaf_machines: BTreeSet<String>,
     /// Controllers that the state service does not hear, nor they it.
     pub unserved: BTreeSet<usize>,
@@ -137,6 +148,9 @@
             }
             Trouble::OddRequests => self.ails.odd_requests = on,
             Trouble::Slow(ms) => self.ails.slow_ms = if on { ms } else { 0 },
+            Trouble::SlowLinks(ms) => self.ails.slow_links_ms = if on { ms } else { 0 },
+            Trouble::DyingMachines(share) => self.kill_machines(now(share)),
+            Trouble::QuickBoots => self.ails.quick_boots = on,
             Trouble::DeafMachines(share) => self.deafen(now(share)),
             Trouble::AnswersLost(share) => self.ails.answers_lost = now(share),
             Trouble::KeptReports(share) => self.keep_reports(now(share)),
