Three meetings that are red: rooms that are not claimed, a hung machine's silence, large jobs

One job bound to a zone whose machines are full thus keeps idle machines of the other zone from other parts' jobs.

Three changes of owners within cancel_s keep a machine that hangs for longer from being returned. What is frozen there past its lease counts as on its machine in the world.

--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -148,6 +148,22 @@
     });
 }
 
+/// The same where the machines of cancelled jobs hang at that moment.
+#[test]
+fn teams_at_their_limits_while_cancelled_jobs_machines_hang_and_the_leader_changes() {
+    holds(&FULL, |node| {
+        vec![
+            (26_000, 0, CancelNow(5, 9_000)),
+            (28_000, 0, Crash(node)),
+            (40_000, 0, CancelNow(4, 30_000)),
+            (44_000, 9_000, Refused((node + 1) % NODES)),
+            (64_000, 0, CancelNow(6, 12_000)),
+            (64_500, 0, CrashAll(1_000)),
+            (67_000, 20_000, Cut("b")),
+        ]
+    });
+}
+
 /// The same where the machines reach nobody: a cancellation falls into that spell, and its owner changes in it.
 #[test]
 fn teams_at_their_limits_while_machines_cannot_be_asked_and_the_leader_changes() {
@@ -274,6 +290,23 @@
     });
 }
 
+/// The same while the shares' writes are late and move whole from part to part.
+#[test]
+fn bound_jobs_lose_machines_while_writes_are_late() {
+    holds(&BOUND, |node| {
+        vec![
+            (15_000, 40_000, LateWrites(0.3)),
+            (24_000, 1, DyingMachines(0.4)),
+            (30_000, 12_000, Deaf(node)),
+            (58_000, 25_000, Cut("a")),
+            (64_000, 8_000, Refused((node + 1) % NODES)),
+            (80_000, 1, DyingMachines(0.5)),
+            (95_000, 16_000, HungMachines(0.6)),
+            (98_000, 0, Crash(node)),
+        ]
+    });
+}
+
 /// Bursts that need new machines, each after the last burst's have been handed back or lost.
 const BURSTS: Site = Site {
     limit: 40.0,
@@ -394,6 +427,23 @@
     assert!(ended.is_sorted(), "{ended:?}");
 }
 
+/// More small jobs all the time than there is room for, and a few that fit a machine only when it is all but empty.
+const SIZES: Site = Site {
+    limit: 40.0,
+    pool: 2,
+    jobs: |world, rng| {
+        world.run_ms = 6_000;
+        for n in 0..6u64 {
+            let spec = json!({"Cuadrilla": TEAMS[n as usize % 2], "Cpus": 7, "Avulsas": true, "Tarefas": 1 + n / 4});
+            add(world, 30_000 + 8_000 * n, spec);
+        }
+        for n in 0..700u64 {
+            let spec = json!({"Cuadrilla": TEAMS[n as usize % 2], "Cpus": rng.random_range(1..3u32), "Avulsas": true});
+            add(world, 2_000 + 450 * n, spec);
+        }
+    },
+};
+
 /// More than the teams may use, for longer than the day.
 const LONG: Site = Site {
     limit: 12.0,
@@ -406,6 +456,32 @@
     },
 };
 
+/// Guards against large jobs that never begin because what small ones leave free is always too little for them: each
+/// begins within four minutes.
+#[test]
+fn the_largest_jobs_begin_within_four_minutes_under_shortage_by_size() {
+    for seed in 0..2 {
+        let mut world = play(seed, Sabotage::default(), &SIZES, &Vec::new());
+        let mut began = [None; 6];
+        while world.now < 320_000 && began.contains(&None) {
+            world.run(world.now.next_multiple_of(1_000) + 1_000);
+            for (n, at) in began.iter_mut().enumerate().filter(|(_, at)| at.is_none()) {
+                let user = &world.users[n];
+                let mut tasks = world.workers.values().flat_map(|w| &w.tasks);
+                if tasks.any(|t| t.name.starts_with(&format!("{}/", user.job))) {
+                    *at = Some(world.now - user.submit_at);
+                }
+            }
+        }
+        let late = began.iter().filter(|at| at.is_none_or(|ms| ms > 240_000));
+        assert_eq!(
+            (late.count(), &world.broken),
+            (0, &Vec::new()),
+            "seed {seed}: {began:?}"
+        );
+    }
+}
+
 /// Shows that the rules are looked at here: without what guards them, they break.
 #[test]
 fn limits_places_and_waits_break_without_their_guards() {
