--- a/src/coordination/shard/claims.rs
+++ b/src/coordination/shard/claims.rs
@@ -1,13 +1,12 @@
 //! An idle part takes over tasks that wait in another one.
 
 use super::Shard;
-use super::placing::{Kind, Rooms, Sort};
+use super::placing::Sort;
 use crate::bookkeeping::store::{Class, TxnResult};
 use crate::coordination::env::{Env, Tag};
 use snowshelf_model::ids::{JobId, PartId, Version, WallMs};
 use snowshelf_model::protocol::state::{Change, Txn};
 use snowshelf_model::records::{JobState, alloc_key, job_key, part_key};
-use std::collections::BTreeSet;
 
 /// A job younger than this is left to the part that holds it.
 const CLAIM_AGE_MS: u64 = 1_500;
@@ -24,18 +23,11 @@
         }
         // Room that is kept for a team is of no use to what waits here.
         let kept = self.kept_room.values().any(|k| k.free > 0.0);
-        if self.free_cpus <= 0.0 && !kept {
+        let idle = !self.waiting_here && self.free_cpus > 0.0;
+        if !idle && !kept {
             return;
         }
         let mut rooms = self.rooms(env);
-        let idle = match self.free_cpus > 0.0 {
-            true => self.idle_sorts(&rooms, env),
-            false => BTreeSet::new(),
-        };
-        if idle.is_empty() && !kept {
-            self.claim_at = now.plus(250);
-            return;
-        }
         // The team that machines of a sort are kept for by now.
         let team_of = |sort: &Sort| {
             let team = sort.kept.as_ref()?.team_now(env)?;
@@ -72,7 +64,7 @@
             }
             let counts = |sort: &Sort| match team_of(sort) {
                 Some(team) => kept_ours && team == spec.team,
-                None => idle.contains(&sort.kind()),
+                None => idle,
             };
             let fit = self.fit(spec, &mut rooms, counts, env);
             if fit > 0 {
@@ -143,34 +135,6 @@
             &txn,
         );
     }
-
-    /// The sorts of machines that nothing which waits here could use, were they empty. Guards against one job that is
-    /// bound to a zone whose machines are full, and keeps the idle ones of another from everybody.
-    fn idle_sorts(&self, rooms: &Rooms, env: &Env) -> BTreeSet<Kind> {
-        let entries = || rooms.entries().iter().map(|e| (e, rooms.key(e)));
-        let mut idle: BTreeSet<Kind> = entries().map(|(_, sort)| sort.kind()).collect();
-        if !self.waiting_here {
-            return idle;
-        }
-        for spec in self
-            .jobs
-            .values()
-            .filter(|j| j.waits())
-            .filter_map(|j| j.spec())
-        {
-            if idle.is_empty() {
-                break;
-            }
-            let wanted = entries().filter(|(e, sort)| {
-                !e.what.faulty && spec.room.fits_in(e.what.whole) && self.takes(spec, sort, env)
-            });
-            for (_, sort) in wanted {
-                idle.remove(&sort.kind());
-            }
-        }
-        idle
-    }
-
     pub fn claim_done(&mut self, txn: &Txn, result: TxnResult, env: &mut Env) {
         let now = env.now();
         self.claiming = false;
--- a/src/coordination/shard/placing.rs
+++ b/src/coordination/shard/placing.rs
@@ -27,22 +27,13 @@
     pub kept: Option<Kept>,
 }
 
-/// A sort but for what is kept: model, zone, spot or not.
-pub(super) type Kind = (String, usize, bool);
-
-impl Sort {
-    pub fn kind(&self) -> Kind {
-        (self.model.clone(), self.zone, self.spot)
-    }
-}
-
 /// A machine that may take tasks, as a pass sees it.
 pub(super) struct Open {
     pub name: MachineId,
     /// What it would have free without any task.
     pub whole: Room,
     /// It has failed a task and completed none since.
-    pub faulty: bool,
+    faulty: bool,
     listed: u32,
     images: Images,
     /// When its next report comes, from now.
@@ -160,7 +151,7 @@
     }
 
     /// Whether machines of a sort that work may run this job.
-    pub(super) fn takes(&self, spec: &JobSpec, sort: &Sort, env: &Env) -> bool {
+    fn takes(&self, spec: &JobSpec, sort: &Sort, env: &Env) -> bool {
         let zone = env.cfg.settings.deployment.zones.get(sort.zone);
         sort.allowed_for(spec, zone)
             && !self.kept_from(spec, sort.pool.as_ref(), sort.kept.as_ref(), env)
