Drawn meetings draw the users' troubles too; answers of 400 count for every question

An accepted job is forgotten also where a poll or a cancellation gets 400 or 422, as before histories were kept. Lost answers join the late writes under close looks.

--- a/crates/world/src/histories.rs
+++ b/crates/world/src/histories.rs
@@ -23,13 +23,12 @@
 
 impl Told {
     /// What the answer says, if it says anything: 503 and the like do not.
-    pub(crate) fn read(question: Question, status: u16, word: &str) -> Option<Told> {
+    pub(crate) fn read(status: u16, word: &str) -> Option<Told> {
         match (status, word) {
             (200 | 201, "done") => Some(Told::Done),
             (200 | 201, "aborted") => Some(Told::Aborted),
             (200 | 201, _) => Some(Told::Open),
-            (404, _) => Some(Told::Unknown),
-            (400 | 422, _) if question == Question::Submit => Some(Told::Unknown),
+            (404 | 400 | 422, _) => Some(Told::Unknown),
             _ => None,
         }
     }
@@ -136,7 +135,7 @@
         status: u16,
         word: &str,
     ) -> bool {
-        let Some(told) = Told::read(question, status, word) else {
+        let Some(told) = Told::read(status, word) else {
             return false;
         };
         let answer = Answer {
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -233,7 +233,7 @@
 fn draw_trouble(rng: &mut StdRng) -> Trouble {
     let node = rng.random_range(0..NODES);
     let share = [0.1, 0.3, 0.7][rng.random_range(0..3usize)];
-    match rng.random_range(0..20u32) {
+    match rng.random_range(0..23u32) {
         0 => Trouble::LateWrites(share),
         1 => Trouble::LateReports(share),
         2 => Trouble::DeafMachines(share),
@@ -253,6 +253,9 @@
         16 => Trouble::CancelNow(2 + 3 * node, [0, 3_000, 9_000][rng.random_range(0..3usize)]),
         17 => Trouble::ZoneCut(["a", "b"][rng.random_range(0..2usize)], node),
         18 => Trouble::AllDown,
+        19 => Trouble::CloseLooks,
+        20 => Trouble::CancelAtEnd(share),
+        21 => Trouble::OddRequests,
         _ => Trouble::CrashAll([0, 300, 2_000][rng.random_range(0..3usize)]),
     }
 }
--- a/tests/told.rs
+++ b/tests/told.rs
@@ -42,6 +42,7 @@
             (4_000, 30_000, LateWrites(0.3)),
             (14_000, 0, Crash(node)),
             (24_000, 8_000, Refused((node + 1) % NODES)),
+            (32_000, 10_000, AnswersLost(0.5)),
             (45_000, 30_000, LateWrites(0.6)),
             (52_000, 0, CrashAll(1_000)),
         ];
