Machines that hang with cancelled tasks are returned in time, whoever owns them

Cause: each owner counted a machine's silence from its own taking. Ruled out: the lease (a frozen worker cannot end its tasks), the halts in answers. Change: a cancellation's record says when it was written (the field `ended`, which done jobs have; wide format only). A machine that has tasks cancelled longer ago than four fifths of cancel_s, and whose next report is late, is returned. Before and after, tests' world: red, green; succession.rs has a test of its own, red with the condition left out.

--- a/crates/model/src/records/job.rs
+++ b/crates/model/src/records/job.rs
@@ -83,7 +83,7 @@
     /// Of a run's job: how long its tasks wait after a failure, in milliseconds.
     #[serde(default, skip_serializing_if = "is_none")]
     pub pause_ms: u64,
-    /// When it was done; only in the wide format.
+    /// When it was done or cancelled; only in the wide format, and on cancelled jobs not from the beginning.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ended: Option<WallMs>,
 }
@@ -119,9 +119,10 @@
         next
     }
     /// The record after its cancellation.
-    pub fn cancelled(&self) -> JobRecord {
+    pub fn cancelled(&self, now: WallMs, format: Format) -> JobRecord {
         let mut next = self.clone();
         next.state = JobState::Cancelled;
+        next.ended = (format == Format::Wide).then_some(now);
         (next.needs, next.needs_pieces) = (Vec::new(), 0);
         if next.parts.is_empty() {
             next.spec = None;
--- a/crates/recovery/src/silence.rs
+++ b/crates/recovery/src/silence.rs
@@ -23,7 +23,12 @@
 /// Whether an owner hears none of its machines, though each should have reported by now: a
 /// report comes every `report_ms`, a quarter more at the most.
 pub fn deaf(hearing: Hearing, now: Millis, report_ms: u64) -> bool {
-    hearing.known >= ENOUGH && now.since(hearing.last) > report_ms + report_ms / 4 + MARGIN_MS
+    hearing.known >= ENOUGH && now.since(hearing.last) > overdue_ms(report_ms)
+}
+
+/// After so long without a report a machine's next one is late.
+pub fn overdue_ms(report_ms: u64) -> u64 {
+    report_ms + report_ms / 4 + MARGIN_MS
 }
 
 /// For connections to be made and answers to be slow.
@@ -50,6 +55,16 @@
     }
 }
 
+/// Share of the time within which cancelled tasks must be gone that is kept for their machine's return.
+const FOR_RETURN: u64 = 5;
+
+/// How long after a task's cancellation a machine that may still have it is returned if it is silent, for however
+/// short a time its owner of now has waited: one that hangs cannot end the task though its lease has run out, and
+/// owners that follow each other would each begin to wait anew.
+pub fn frozen_ms(cancel_ms: u64) -> u64 {
+    cancel_ms - cancel_ms / FOR_RETURN
+}
+
 /// For how long a machine may be silent before it is returned. Whether a cut ends soon cannot be known:
 /// waiting as long again as a machine in its place would take to be up costs twice the best at
 /// the most, whichever way it goes.
--- a/src/coordination/env.rs
+++ b/src/coordination/env.rs
@@ -9,7 +9,9 @@
 use crate::settings::Settings;
 use serde_json::Value;
 use snowshelf_calendar::guard::Guard;
-use snowshelf_model::ids::{CallId, ConnId, JobId, MachineId, Member, Millis, PartId, Token};
+use snowshelf_model::ids::{
+    CallId, ConnId, JobId, MachineId, Member, Millis, PartId, Token, WallMs,
+};
 use snowshelf_model::protocol::cloud::{MachineType, release_body};
 use snowshelf_model::protocol::state::Txn;
 use snowshelf_model::protocol::user::BadField;
@@ -182,6 +184,10 @@
     pub fn now(&self) -> Millis {
         self.out.now
     }
+    /// A job's record after a cancellation that is written now.
+    pub fn cancelled(&self, record: &JobRecord) -> JobRecord {
+        record.cancelled(WallMs(self.out.wall_ms), self.terms.format)
+    }
     /// A job's value as it may be written now; `None` if it is too large.
     pub fn job_value(&self, record: &JobRecord) -> Option<Value> {
         let exists = |label: &str| self.types.contains_key(label);
--- a/src/coordination/gateway/accepting.rs
+++ b/src/coordination/gateway/accepting.rs
@@ -272,7 +272,7 @@
     };
     if accept.needs.iter().any(lost) {
         let parts = Vec::new();
-        return JobRecord { parts, ..record }.cancelled();
+        return env.cancelled(&JobRecord { parts, ..record });
     }
     if accept.pieces > 0 {
         return record;
--- a/src/coordination/gateway/cancelling.rs
+++ b/src/coordination/gateway/cancelling.rs
@@ -76,7 +76,7 @@
             if v.value.is_final() || !ours || self.left_alone.contains_key(job) {
                 continue;
             }
-            let Some(value) = env.job_value(&v.value.cancelled()) else {
+            let Some(value) = env.job_value(&env.cancelled(&v.value)) else {
                 continue;
             };
             let change = Change::write(job_key(job), &value);
--- a/src/coordination/gateway/reading.rs
+++ b/src/coordination/gateway/reading.rs
@@ -250,7 +250,7 @@
                 self.tell_open(conn, job, &record, why, env);
             }
             _ => {
-                let next = env.job_value(&record.cancelled());
+                let next = env.job_value(&env.cancelled(&record));
                 let may = env.store.may(env.now(), Class::Accept, 1);
                 let Some(next) = next.filter(|_| may) else {
                     let later = Response::later(503, "too many requests", 1);
--- a/src/coordination/shard/returns.rs
+++ b/src/coordination/shard/returns.rs
@@ -6,7 +6,7 @@
 use crate::outbox::Response;
 use snowshelf_drain::entry::Then;
 use snowshelf_model::ids::{Attempt, JobId, MachineId, TaskNo, seconds_to_ms};
-use snowshelf_recovery::silence::{ZoneSilence, patience_ms};
+use snowshelf_recovery::silence::{ZoneSilence, frozen_ms, overdue_ms, patience_ms};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Names of returned machines that are remembered, to know late reports by.
@@ -27,6 +27,7 @@
         let names: Vec<MachineId> = self.machines.keys().cloned().collect();
         for name in names {
             let holds = self.holds_tasks(&name);
+            let frozen = self.may_be_frozen(&name, env);
             let busy = holds || self.kept_ready(&name, ahead_ms, env);
             // What a drain keeps empty is not handed back, and what it returns goes when it is empty.
             let then = env.drains.closed.get(&name).map(|c| c.then);
@@ -57,8 +58,9 @@
                 && !listed
                 && !waiting
                 && m.idle_since.is_some_and(|since| now.since(since) > idle_ms);
-            if silent > limit || spent || idle {
-                tracing::info!(machine = %name, part = %self.part, silent_ms = silent, spent, idle,
+            let frozen = frozen && silent > overdue_ms(report_ms);
+            if silent > limit || frozen || spent || idle {
+                tracing::info!(machine = %name, part = %self.part, silent_ms = silent, frozen, spent, idle,
                     "machine is returned");
                 m.returning = true;
                 back.push(name);
@@ -75,6 +77,16 @@
         }
     }
 
+    /// Whether a machine has, by the records, tasks that were cancelled so long ago that it must be returned unless it
+    /// is heard. Guards against one that hangs for longer than cancelled tasks may stay, while owners change: each
+    /// begins anew to count its silence, the cancellation's record does not.
+    fn may_be_frozen(&self, name: &MachineId, env: &Env) -> bool {
+        let before = frozen_ms(env.cfg.settings.cancel_ms());
+        let cancelled = self.jobs_on(name).filter(|(_, j)| j.cancelled());
+        let mut at = cancelled.filter_map(|(_, j)| j.spec.ended);
+        at.any(|at| env.out.wall_ms.saturating_sub(at.0) > before)
+    }
+
     /// How many of the machines of each zone are silent.
     fn silences(&self, env: &Env) -> BTreeMap<usize, ZoneSilence> {
         let now = env.out.now;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -263,8 +263,12 @@
 
     /// How long after it last knew what users were told a controller may answer workers.
     pub fn answering_ms(&self) -> u64 {
-        let cancel_ms = seconds_to_ms(self.deployment.workers.cancel_s);
-        snowshelf_horizon::answering_ms(cancel_ms, self.lease_ms())
+        snowshelf_horizon::answering_ms(self.cancel_ms(), self.lease_ms())
+    }
+
+    /// Within that time of a confirmed cancellation no task of the job is on a machine.
+    pub fn cancel_ms(&self) -> u64 {
+        seconds_to_ms(self.deployment.workers.cancel_s)
     }
 
     pub fn report_ms(&self) -> u64 {
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -102,3 +102,24 @@
         sound(world, &format!("seed {seed}"));
     }
 }
+
+/// Guards against owners each of which counts anew for how long a machine has been silent: one that hangs for longer
+/// than cancelled tasks may stay has to be returned, whoever owns its part by then.
+#[test]
+fn cancelled_tasks_end_on_machines_that_hang_while_owners_change() {
+    for every_ms in [7_000, 9_000, 12_000] {
+        for seed in 0..4 {
+            let mut world = cancelled_in_a_loop(seed);
+            world.bring(FROM_MS, 0, Trouble::CancelNow(12, CANCEL_MS + 20_000));
+            let mut at = FROM_MS + 2_000 + 500 * seed;
+            while at < FROM_MS + CANCEL_MS {
+                world.bring(at, 0, Trouble::CrashAll(100));
+                at += every_ms;
+            }
+            world.run(UNTIL_MS + 60_000);
+            let told = world.users.iter().filter(|u| u.told_cancelled.is_some());
+            let sound = (told.count(), &world.broken);
+            assert_eq!(sound, (12, &Vec::new()), "every {every_ms} ms, seed {seed}");
+        }
+    }
+}
