A part claims for each kind of its machines that nothing waiting here could use

Cause: a part claimed nothing while any of its own waiting jobs would fit any of its machines, were that empty. Ruled out: late writes; a cost in leases.

--- a/crates/seating/src/rooms.rs
+++ b/crates/seating/src/rooms.rs
@@ -120,6 +120,13 @@
         found
     }
 
+    /// Each group with its machines.
+    pub fn groups(&self) -> impl Iterator<Item = (&K, impl Iterator<Item = &Entry<T>>)> {
+        let entries = &self.entries;
+        let groups = self.groups.iter();
+        groups.map(move |g| (&g.key, g.members.iter().map(move |at| &entries[*at])))
+    }
+
     /// How many machines there are in each group that a job may use.
     pub fn sizes(&self, allowed: &Allowed) -> impl Iterator<Item = (&K, usize)> {
         let groups = self.groups.iter().zip(&allowed.0);
@@ -131,10 +138,4 @@
     pub fn take(&mut self, at: usize, task: Room) {
         self.entries[at].free.sub(task);
     }
-
-    /// Whether any group that a job may use has a member of which this holds.
-    pub fn any(&self, allowed: &Allowed, mut is: impl FnMut(&Entry<T>) -> bool) -> bool {
-        let mut groups = self.groups.iter().zip(&allowed.0);
-        groups.any(|(g, allowed)| *allowed && g.members.iter().any(|at| is(&self.entries[*at])))
-    }
 }
--- a/src/coordination/shard/claims.rs
+++ b/src/coordination/shard/claims.rs
@@ -1,4 +1,4 @@
-//! An idle part takes over tasks that wait in another one.
+//! A part with idle machines takes over tasks that wait in another one.
 
 use super::Shard;
 use super::placing::Sort;
@@ -23,7 +23,7 @@
         }
         // Room that is kept for a team is of no use to what waits here.
         let kept = self.kept_room.values().any(|k| k.free > 0.0);
-        let idle = !self.waiting_here && self.free_cpus > 0.0;
+        let idle = self.free_cpus > 0.0 && !self.idle.is_empty();
         if !idle && !kept {
             return;
         }
@@ -64,7 +64,7 @@
             }
             let counts = |sort: &Sort| match team_of(sort) {
                 Some(team) => kept_ours && team == spec.team,
-                None => idle,
+                None => idle && self.idle.contains(&sort.kind()),
             };
             let fit = self.fit(spec, &mut rooms, counts, env);
             if fit > 0 {
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -95,6 +95,8 @@
     pub waiting_cpus: f64,
     /// Tasks wait that some machine here could run, were it empty.
     waiting_here: bool,
+    /// Kinds of machines with room that nothing which waits here could use.
+    idle: BTreeSet<placing::Kind>,
 }
 
 /// How far a part is served.
@@ -155,6 +157,7 @@
             capacity_cpus: 0.0,
             waiting_cpus: 0.0,
             waiting_here: false,
+            idle: BTreeSet::new(),
         }
     }
 
--- a/src/coordination/shard/placing.rs
+++ b/src/coordination/shard/placing.rs
@@ -13,7 +13,7 @@
 use snowshelf_model::records::{Grant, JobSpec, Room, Step, StepKind};
 use snowshelf_seating::fruitless::{Fruitless, Shape};
 use snowshelf_seating::rooms;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 /// The least time between two passes: reports that come in between share one.
 const PASS_GAP_MS: u64 = 50;
@@ -27,6 +27,15 @@
     pub kept: Option<Kept>,
 }
 
+/// A sort but for what is kept: model, zone, spot or not.
+pub(super) type Kind = (String, usize, bool);
+
+impl Sort {
+    pub fn kind(&self) -> Kind {
+        (self.model.clone(), self.zone, self.spot)
+    }
+}
+
 /// A machine that may take tasks, as a pass sees it.
 pub(super) struct Open {
     pub name: MachineId,
@@ -244,18 +253,44 @@
         self.kept_room = self.kept_room(&rooms, env);
         let free = rooms.entries().iter().map(|e| e.free.cpus.max(0.0));
         self.free_cpus = free.sum::<f64>() - self.kept_room.values().map(|k| k.free).sum::<f64>();
-        let waiting = || self.jobs.values().filter(|j| j.waits());
-        self.waiting_here = waiting().filter_map(|j| j.spec()).any(|spec| {
-            let allowed = rooms.allowed(|sort| self.takes(spec, sort, env));
-            rooms.any(&allowed, |e| {
-                !e.what.faulty && spec.room.fits_in(e.what.whole)
-            })
-        });
-        self.waiting_cpus = waiting()
+        (self.waiting_here, self.idle) = self.idle_kinds(&rooms, env);
+        let waiting = self.jobs.values().filter(|j| j.waits());
+        self.waiting_cpus = waiting
             .filter_map(|j| Some(j.spec()?.room.cpus * f64::from(j.view.waiting.len())))
             .sum();
     }
 
+    /// Whether tasks wait here that some machine could run, were it empty; and the kinds of machines with room that
+    /// none of them could use. Guards against one job that is bound to a zone whose machines are full, and keeps the
+    /// idle ones of another from everybody.
+    fn idle_kinds(&self, rooms: &Rooms, env: &Env) -> (bool, BTreeSet<Kind>) {
+        // Of each sort that works: what a machine has without tasks, and whether any has room.
+        let sorts = rooms.groups().filter_map(|(sort, machines)| {
+            let mut works = machines.filter(|e| !e.what.faulty).peekable();
+            let whole = works.peek()?.what.whole;
+            Some((sort, whole, works.any(|e| e.free.cpus > 0.0)))
+        });
+        let mut left: Vec<(&Sort, Room, bool)> = sorts.collect();
+        let mut wanted = BTreeSet::new();
+        let waiting = self.jobs.values().filter(|j| j.waits());
+        for spec in waiting.filter_map(|j| j.spec()) {
+            if left.is_empty() {
+                break;
+            }
+            left.retain(|(sort, whole, _)| {
+                let wants = spec.room.fits_in(*whole) && self.takes(spec, sort, env);
+                if wants {
+                    wanted.insert(sort.kind());
+                }
+                !wants
+            });
+        }
+        let roomy = left.iter().filter(|(_, _, room)| *room);
+        let idle = roomy.map(|(sort, _, _)| sort.kind());
+        let idle = idle.filter(|kind| !wanted.contains(kind)).collect();
+        (!wanted.is_empty(), idle)
+    }
+
     /// Starts as many of a job's waiting tasks as limits and room allow, on any machine or only
     /// where its image is or is being fetched.
     fn place_job(&mut self, turn: &Turn, only_with_image: bool, pass: &mut Pass, env: &Env) {
