A part goes past controllers that no worker reaches, also where they do not know it yet

Cause: a controller that has just lost its workers may take a part that another hands over for the same reason. None of that part's machines ever reported to it, so it never missed them: the part stayed with it, and its machines were returned as silent. Change: machines that only the records tell of count as unheard since the taking.

--- a/crates/recovery/src/silence.rs
+++ b/crates/recovery/src/silence.rs
@@ -14,9 +14,9 @@
 /// What an owner hears of its machines.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub struct Hearing {
-    /// Machines that have reported to this owner.
+    /// Machines that have reported to this owner, or have tasks by the records that it took over.
     pub known: u32,
-    /// When the last report of any of them came.
+    /// When the last report of any of them came, or when the part was taken.
     pub last: Millis,
 }
 
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -191,13 +191,12 @@
         &self.matched.offers
     }
 
-    /// What is heard of its machines.
+    /// What is heard of its machines. Those that only the records tell of are missed as of the taking: otherwise a
+    /// controller that no worker reaches, and took the part before it knew, would never miss them.
     pub fn hearing(&self) -> Hearing {
-        let reported = self
-            .machines
-            .values()
-            .filter(|m| m.reported && !m.returning);
-        reported.fold(Hearing::default(), |h, m| Hearing {
+        let machines = self.machines.values();
+        let known = machines.filter(|m| (m.reported || m.inherited) && !m.returning);
+        known.fold(Hearing::default(), |h, m| Hearing {
             known: h.known + 1,
             last: h.last.max(m.heard),
         })
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -183,6 +183,30 @@
     assert!(sum <= 80, "leases run out and machines: {expired:?}");
 }
 
+/// Guards against a part that stays with a controller which no worker reaches, as it took the part from another before
+/// it knew: none of the part's machines ever reported to it, so that it does not miss them.
+#[test]
+fn parts_go_past_controllers_that_no_worker_reaches_either() {
+    for seed in 1..=12u64 {
+        let mut world = World::sized(seed, CALM, Sabotage::default(), 120, 90_000, LARGE);
+        world.run_ms = 20_000;
+        let alone = seed as usize % snowshelf_world::NODES;
+        for i in 1..snowshelf_world::NODES {
+            let node = (alone + i) % snowshelf_world::NODES;
+            world.deaf_at(30_000 + 400 * i as u64 * (seed % 5), 70_000, node);
+        }
+        world.run(30_000);
+        assert!(world.workers.len() > 12, "{}", world.workers.len());
+        world.run(55_000);
+        let owners = world.state.owners();
+        let name = format!("n{alone}");
+        assert!(owners.iter().all(|o| *o == name), "seed {seed}: {owners:?}");
+        // Beyond the others' return; the jobs, of 20 s and in chains, last longer.
+        world.run(110_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 /// One controller left alone takes all parts and goes on with everything, within its share of the budgets, and
 /// gives the parts back afterwards: no rule is broken, and the leases that run out are those of workers that had
 /// two others to try first, 4 s each, of the 10 s that a lease lasts here.
