A part whose grant cannot reach a task's worth gives it back

Change: how a part moves its grant is one pure function (crates/policy, grants.rs); a part that others compete with and that cannot have enough for its smallest task keeps what it uses.

--- /dev/null
+++ b/crates/policy/tests/grants.rs
@@ -0,0 +1,63 @@
+//! Parts that share a team's limit.
+
+use proptest::prelude::*;
+use snowshelf_model::ids::PartId;
+use snowshelf_model::records::{Grant, QuotaRecord};
+use snowshelf_policy::grants::{Lack, Standing, moved};
+
+fn cpus(cpus: f64) -> Grant {
+    Grant { cpus, gpus: 0.0 }
+}
+
+fn spare(record: &QuotaRecord, part: &PartId, used: f64) -> f64 {
+    record.grants.get(part).map_or(0.0, |g| g.cpus) - used
+}
+
+proptest! {
+    /// Guards against parts that each hold less than a task's worth of a limit and so start nothing, all together:
+    /// however it was divided before, once each has moved twice one of them can start a task if there is enough.
+    #[test]
+    fn some_part_can_start_a_task(
+        busy in 0..20u32,
+        parts in prop::collection::vec((1..6u32, 1..60u32, 0..30u32), 2..6),
+        over in 0..8u32,
+        turns in prop::collection::vec(any::<prop::sample::Index>(), 0..12),
+    ) {
+        let largest = parts.iter().map(|p| p.0).max().unwrap_or(1);
+        let limit = f64::from(busy + largest + over);
+        let demand: u32 = parts.iter().map(|p| p.1).sum::<u32>() + 10 * busy;
+        // One part is full and lacks nothing; the others have divided the rest somehow.
+        let mut record = QuotaRecord::default();
+        record.grants.insert(PartId(0), cpus(f64::from(busy)));
+        let mut left = limit - f64::from(busy);
+        for (n, (_, _, eighths)) in parts.iter().enumerate() {
+            let has = (f64::from(*eighths) / 8.0).min(left);
+            left -= has;
+            record.grants.insert(PartId(n as u32 + 1), cpus(has));
+        }
+        let standing = |n: usize| {
+            let (task, demanded, _) = parts[n];
+            Standing {
+                part: PartId(n as u32 + 1),
+                used: Grant::default(),
+                lack: Some(Lack {
+                    all: cpus(f64::from(demanded.max(task))),
+                    task: cpus(f64::from(task)),
+                }),
+                even: Some(cpus(limit * f64::from(demanded) / f64::from(demand))),
+                step: cpus(limit / 40.0),
+                limit: cpus(limit),
+            }
+        };
+        let order = turns.iter().map(|t| t.index(parts.len()));
+        for n in order.chain(0..parts.len()).chain(0..parts.len()) {
+            record = moved(&record, &standing(n));
+            prop_assert!(record.granted().cpus <= limit + 1e-6);
+            prop_assert_eq!(record.grants[&PartId(0)], cpus(f64::from(busy)));
+        }
+        let starts = |(n, p): (usize, &(u32, u32, u32))| {
+            spare(&record, &PartId(n as u32 + 1), 0.0) + 1e-6 >= f64::from(p.0)
+        };
+        prop_assert!(parts.iter().enumerate().any(starts), "{record:?}");
+    }
+}
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -27,6 +27,7 @@
 use snowshelf_model::ids::{Attempt, JobId, MachineId, Millis, PartId, TaskNo, Team, Token};
 use snowshelf_model::protocol::worker::{Report, TaskState};
 use snowshelf_model::records::{Alloc, QuotaRecord, Step, StepKind};
+use snowshelf_policy::grants::Lack;
 use snowshelf_recovery::silence::Hearing;
 use snowshelf_recovery::squaring::Squared;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -75,7 +76,7 @@
     quota: HashMap<Team, quota::QuotaState>,
     quota_flight: Option<(Team, QuotaRecord)>,
     /// Teams for which placement lacked grant in the last pass.
-    pub short_of: BTreeMap<Team, quota::Lack>,
+    pub short_of: BTreeMap<Team, Lack>,
     /// A charge of a team's budget is underway, and when the next one may be.
     charging: Option<emptying::Charging>,
     charge_at: Millis,
--- a/src/coordination/shard/placing.rs
+++ b/src/coordination/shard/placing.rs
@@ -3,7 +3,6 @@
 use super::Shard;
 use super::job::ShardJob;
 use super::keeping::Kept;
-use super::quota::Lack;
 use super::turns::Turn;
 use crate::coordination::env::Env;
 use crate::coordination::images::Images;
@@ -12,6 +11,7 @@
 use snowshelf_model::ids::{JobId, MachineId, Team, WallMs, seconds_to_ms};
 use snowshelf_model::protocol::worker::TaskState;
 use snowshelf_model::records::{Grant, JobSpec, Room, Step, StepKind};
+use snowshelf_policy::grants::Lack;
 use snowshelf_seating::fruitless::{Fruitless, Shape};
 use snowshelf_seating::rooms;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -460,6 +460,8 @@
             });
             lacking.all.cpus += room.cpus * f64::from(fits - covered);
             lacking.all.gpus += room.gpus * f64::from(fits - covered);
+            lacking.task.cpus = lacking.task.cpus.min(room.cpus);
+            lacking.task.gpus = lacking.task.gpus.min(room.gpus);
             let mut left = covered;
             for (_, n) in &mut chosen {
                 *n = (*n).min(left);
--- a/src/coordination/shard/quota.rs
+++ b/src/coordination/shard/quota.rs
@@ -7,6 +7,7 @@
 use snowshelf_model::ids::{Millis, PartId, Team, Version};
 use snowshelf_model::protocol::state::{Change, Txn};
 use snowshelf_model::records::{Grant, JobState, QuotaRecord, part_key, quota_key};
+use snowshelf_policy::grants::{Standing, moved};
 use std::collections::{BTreeSet, HashMap};
 
 /// The least time between two moves of a team's grant by one part.
@@ -14,13 +15,6 @@
 /// In so many steps a part's even share of a team's limit is given.
 const STEPS: f64 = 40.0;
 
-/// What a part lacks of a team's limit: for all that it could start, and for the first task of these.
-#[derive(Clone, Copy, PartialEq, Debug)]
-pub struct Lack {
-    pub all: Grant,
-    pub task: Grant,
-}
-
 #[derive(Default)]
 pub(super) struct QuotaState {
     /// Lowered grant that a write may have made durable.
@@ -86,39 +80,27 @@
             };
             let durable = record.grants.get(&self.part).copied().unwrap_or_default();
             let unsettled = self.quota.get(&team).is_some_and(|q| q.ceiling.is_some());
-            let short = self.short_of.get(&team).copied();
-            // Every move is a write: grants go up and down in steps, a small share of the limit.
             let step = |limit: f64| limit / f64::from(env.cfg.parts) / STEPS;
-            let wanted = |lack: Grant| Grant {
-                cpus: used.cpus + lack.cpus.max(step(limit.cpus)),
-                gpus: used.gpus + lack.gpus.max(step(limit.gpus)),
-            };
-            let mut wish = match short {
-                Some(lack) => wanted(lack.all),
-                None => durable,
-            };
-            if others_short.contains(&team) {
-                // Another part could start more: keep what is used and, if this part waits too, a
-                // share by demand. With other shares one part's tasks of a job lag behind the rest.
+            let even = others_short.contains(&team).then(|| {
                 let share = demand_share(&team, self.part, env);
-                let fair = match short {
-                    // Not less than a task: parts that each have less than that start nothing, all together.
-                    Some(lack) => Grant {
-                        cpus: (limit.cpus * share)
-                            .max(lack.task.cpus)
-                            .min(wanted(lack.all).cpus),
-                        gpus: (limit.gpus * share)
-                            .max(lack.task.gpus)
-                            .min(wanted(lack.all).gpus),
-                    },
-                    None => Grant::default(),
-                };
-                wish = Grant {
-                    cpus: used.cpus.max(fair.cpus),
-                    gpus: used.gpus.max(fair.gpus),
-                };
-            }
-            let next = record.regrant(self.part, wish, used, limit);
+                Grant {
+                    cpus: limit.cpus * share,
+                    gpus: limit.gpus * share,
+                }
+            });
+            let standing = Standing {
+                part: self.part,
+                used,
+                lack: self.short_of.get(&team).copied(),
+                even,
+                // Grants go up and down in steps, a small share of the limit.
+                step: Grant {
+                    cpus: step(limit.cpus),
+                    gpus: step(limit.gpus),
+                },
+                limit,
+            };
+            let next = moved(&record, &standing);
             let granted = next.grants.get(&self.part).copied().unwrap_or_default();
             // What a part lacks is never too little to be asked for; what it gives up may be.
             let near = |granted: f64, durable: f64, limit: f64| {
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -53,8 +53,8 @@
     world
 }
 
-/// Further seeds that have found something: a bound job whose part has no machine of its zone, and parts that each had a
-/// grant smaller than a task.
+/// Further seeds on which earlier forms broke: a bound job whose part had no machine of its zone, and parts that each
+/// had a grant smaller than a task.
 const FOUND: [u64; 2] = [17, 38];
 
 /// Holds every rule against a meeting, and has every user hear the end.
@@ -453,6 +453,35 @@
     },
 };
 
+/// Machines of one pool each, none of them full, and in every part more waits than fits there.
+const SPLINTERS: Site = Site {
+    limit: 60.0,
+    pool: 1,
+    jobs: |world, _| {
+        for n in 0..14u64 {
+            let spec = json!({"Cuadrilla": TEAMS[n as usize % 2], "Cpus": 3, "Avulsas": true});
+            add_endless(world, 2_000 + 400 * n, 300_000, spec);
+        }
+        for n in 0..4u64 {
+            let (team, zone) = (TEAMS[n as usize % 2], ["a", "b"][n as usize % 2]);
+            let spec = json!({"Cuadrilla": team, "Cpus": 1, "Avulsas": true, "Tarefas": 2, "Together": true, "Parcela": zone});
+            add(world, 40_000 + 1_000 * n, spec);
+        }
+    },
+};
+
+/// Guards against a small job that waits with a part which cannot run it, while in others, where larger ones wait, there
+/// is room for it.
+#[test]
+fn small_jobs_find_the_room_that_other_parts_cannot_use() {
+    for seed in 0..12 {
+        let mut world = play(seed, Sabotage::default(), &SPLINTERS, &Vec::new());
+        world.run(150_000);
+        let done = world.users[14..].iter().filter(|u| u.told_done).count();
+        assert_eq!((done, &world.broken), (4, &Vec::new()), "seed {seed}");
+    }
+}
+
 /// More than the teams may use, for longer than the day.
 const LONG: Site = Site {
     limit: 12.0,
