Read once more: grants grow in one method, waits are worked out in one place

What the change had written by hand several times calls one piece now: Grant::add (five places), Env::waited_ms (claims, offers), the count of held rooms, and one constant for a feed that is late where there were two of the same number and reason.

--- a/crates/horizon/src/renewal.rs
+++ b/crates/horizon/src/renewal.rs
@@ -3,8 +3,9 @@
 use crate::with_drift;
 use snowshelf_model::ids::Millis;
 
-/// Nothing is begun on knowledge older than this.
-const BEGINS_MS: u64 = 6_000;
+/// The change feed is asked more than twice in this time, in milliseconds: one that has not answered for longer is late,
+/// and nothing is begun on knowledge that is older.
+pub const FEED_LATE_MS: u64 = 6_000;
 
 /// What an owner's knowledge of cancellations rests on.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -54,7 +55,7 @@
 
 /// Whether what has been committed may still be commanded for the first time.
 pub fn may_begin(horizon: Option<Millis>, now: Millis) -> bool {
-    horizon.is_some_and(|at| now.since(at) <= with_drift(BEGINS_MS))
+    horizon.is_some_and(|at| now.since(at) <= with_drift(FEED_LATE_MS))
 }
 
 /// Whether a report that came at `received` may be answered, so that its worker's tasks go on for a lease from when
--- a/crates/model/src/records/quota.rs
+++ b/crates/model/src/records/quota.rs
@@ -24,6 +24,10 @@
             gpus: room.gpus,
         }
     }
+    pub fn add(&mut self, more: Grant) {
+        self.cpus += more.cpus;
+        self.gpus += more.gpus;
+    }
     pub fn covers(self, used: Grant) -> bool {
         used.cpus <= self.cpus + EPS && used.gpus <= self.gpus + EPS
     }
--- a/crates/policy/tests/grants.rs
+++ b/crates/policy/tests/grants.rs
@@ -9,10 +9,6 @@
     Grant { cpus, gpus: 0.0 }
 }
 
-fn spare(record: &QuotaRecord, part: &PartId, used: f64) -> f64 {
-    record.grants.get(part).map_or(0.0, |g| g.cpus) - used
-}
-
 proptest! {
     /// Guards against parts that each hold less than a task's worth of a limit and so start nothing, all together:
     /// however it was divided before, once each has moved twice one of them can start a task if there is enough.
@@ -56,7 +52,7 @@
             prop_assert_eq!(record.grants[&PartId(0)], cpus(f64::from(busy)));
         }
         let starts = |(n, p): (usize, &(u32, u32, u32))| {
-            spare(&record, &PartId(n as u32 + 1), 0.0) + 1e-6 >= f64::from(p.0)
+            record.grants[&PartId(n as u32 + 1)].cpus + 1e-6 >= f64::from(p.0)
         };
         prop_assert!(parts.iter().enumerate().any(starts), "{record:?}");
     }
--- a/src/coordination/controller/horizon.rs
+++ b/src/coordination/controller/horizon.rs
@@ -4,13 +4,11 @@
 use super::{Controller, UNSERVED_MS};
 use crate::outbox::Output;
 use snowshelf_horizon::attesting::Answer;
-use snowshelf_horizon::renewal::known;
+use snowshelf_horizon::renewal::{FEED_LATE_MS, known};
 use snowshelf_model::ids::{JobId, Member, Millis};
 use snowshelf_model::protocol::peer::{Attestation, AttestationRequest, Proof};
 use std::collections::BTreeSet;
 
-/// The change feed is asked more than twice in this time.
-const FEED_LATE_MS: u64 = 6_000;
 /// Less than this and workers are let go by a feed that is only slow.
 const LITTLE_ROOM_MS: u64 = 4_000;
 /// Most jobs named in one attestation, so that it stays within its frame; beyond that it is incomplete.
--- a/src/coordination/env.rs
+++ b/src/coordination/env.rs
@@ -184,6 +184,11 @@
     pub fn now(&self) -> Millis {
         self.out.now
     }
+    /// How long a job has waited for room, since nothing that it needs held it back any more.
+    pub fn waited_ms(&self, id: &JobId, record: &JobRecord) -> u64 {
+        let since = self.graph.since(id, record);
+        self.out.wall_ms.saturating_sub(since.0)
+    }
     /// A job's record after a cancellation that is written now.
     pub fn cancelled(&self, record: &JobRecord) -> JobRecord {
         record.cancelled(WallMs(self.out.wall_ms), self.terms.format)
--- a/src/coordination/shard/claims.rs
+++ b/src/coordination/shard/claims.rs
@@ -89,9 +89,10 @@
                 None => offered || (idle && self.matched.idle.contains(&sort.kind())),
             };
             let mut fit = self.fit(spec, &mut rooms, counts, env);
-            let since = env.graph.since(id, &record.value);
-            let waited_ms = env.out.wall_ms.saturating_sub(since.0);
-            if fit == 0 && offer == Some(Offer::Stranded) && waited_ms >= WAITED_MS {
+            if fit == 0
+                && offer == Some(Offer::Stranded)
+                && env.waited_ms(id, &record.value) >= WAITED_MS
+            {
                 // What has room at once is for smaller tasks: room is held for it here.
                 fit = u32::from(self.could_hold(spec, &rooms, env));
             }
@@ -168,8 +169,7 @@
     fn has_grant(&self, spec: &JobSpec, used: &HashMap<Team, Grant>, env: &Env) -> bool {
         let granted = self.granted(&spec.team, env);
         let mut next = used.get(&spec.team).copied().unwrap_or_default();
-        next.cpus += spec.room.cpus;
-        next.gpus += spec.room.gpus;
+        next.add(Grant::of(spec.room));
         granted.covers(next)
     }
 
--- a/src/coordination/shard/holding.rs
+++ b/src/coordination/shard/holding.rs
@@ -6,7 +6,7 @@
 use super::turns::Turn;
 use crate::coordination::env::Env;
 use snowshelf_model::ids::{JobId, MachineId, Millis, Team};
-use snowshelf_model::records::{JobSpec, Kind, Room};
+use snowshelf_model::records::{Grant, JobSpec, Kind, Room};
 use snowshelf_policy::holding::{HELD_MS, Holdable, REST_MS, WAITED_MS, most, nearest};
 
 /// What is held for a job.
@@ -44,16 +44,23 @@
             (key(*a_begun, a), &a.job).cmp(&(key(*b_begun, b), &b.job))
         });
         let most = most(pass.rooms.entries().len());
-        let mut held = self.holds.values().filter(|h| h.holds(now)).count();
+        let mut held = self.held(now);
         for (_, turn) in waiting {
-            let known = self.holds.contains_key(&turn.job);
-            if (!known && held < most) || self.holds.get(&turn.job).is_some_and(|h| h.holds(now)) {
-                let began = self.hold_for(turn, pass, env);
-                held += usize::from(!known && began);
+            match self.holds.get(&turn.job).map(|h| h.holds(now)) {
+                Some(true) => {
+                    self.hold_for(turn, pass, env);
+                }
+                None if held < most => held += usize::from(self.hold_for(turn, pass, env)),
+                Some(false) | None => {}
             }
         }
     }
 
+    /// For how many jobs room is held.
+    fn held(&self, now: Millis) -> usize {
+        self.holds.values().filter(|h| h.holds(now)).count()
+    }
+
     /// Whether anything of a job has ended, in any part; none if something of it is on a machine, or if it fails.
     fn has_begun(&self, id: &JobId, env: &Env) -> Option<bool> {
         let job = self
@@ -93,8 +100,7 @@
         let lacks = granted.cpus - used.cpus < spec.room.cpus;
         if granted.cpus >= spec.room.cpus {
             // What ends of its team leaves grant to it.
-            used.cpus += spec.room.cpus;
-            used.gpus += spec.room.gpus;
+            used.add(Grant::of(spec.room));
         }
         let mut entries = pass.rooms.entries().iter();
         let free = entries.find(|e| e.what.name == machine).map(|e| e.free);
@@ -113,10 +119,8 @@
 
     /// Whether room may be held for one more job, on a machine that could run this one.
     pub(super) fn could_hold(&self, spec: &JobSpec, rooms: &Rooms, env: &Env) -> bool {
-        let now = env.out.now;
-        let held = self.holds.values().filter(|h| h.holds(now)).count();
         let mut groups = rooms.groups();
-        held < most(rooms.entries().len())
+        self.held(env.out.now) < most(rooms.entries().len())
             && groups.any(|(sort, mut machines)| {
                 self.takes(spec, sort, env)
                     && machines.any(|e| !e.what.faulty && spec.room.fits_in(e.what.whole))
--- a/src/coordination/shard/placing.rs
+++ b/src/coordination/shard/placing.rs
@@ -340,10 +340,7 @@
                 break;
             }
             let stranded = !sorts.iter().any(|sort| wants(spec, sort));
-            let waited_ms = env
-                .out
-                .wall_ms
-                .saturating_sub(env.graph.since(id, &job.spec).0);
+            let waited_ms = env.waited_ms(id, &job.spec);
             let offer = match stranded {
                 true if waited_ms >= STRANDED_MS => Some(Offer::Stranded),
                 false if waited_ms >= OVERDUE_MS && job.started == 0 => Some(Offer::Overdue),
@@ -469,8 +466,8 @@
                 all: Grant::default(),
                 task: Grant::of(room),
             });
-            lacking.all.cpus += room.cpus * f64::from(fits - covered);
-            lacking.all.gpus += room.gpus * f64::from(fits - covered);
+            let more = room.times(f64::from(fits - covered));
+            lacking.all.add(Grant::of(more));
             lacking.task.cpus = lacking.task.cpus.min(room.cpus);
             lacking.task.gpus = lacking.task.gpus.min(room.gpus);
             let mut left = covered;
@@ -498,8 +495,7 @@
                     break;
                 }
                 pass.rooms.take(at, room);
-                used.cpus += room.cpus;
-                used.gpus += room.gpus;
+                used.add(Grant::of(room));
             }
             if let Some(m) = self.machines.get_mut(&name) {
                 m.idle_since = None;
--- a/src/coordination/shard/quota.rs
+++ b/src/coordination/shard/quota.rs
@@ -36,8 +36,7 @@
                 && let Some(spec) = job.spec()
             {
                 let entry = used.entry(spec.team.clone()).or_default();
-                entry.cpus += spec.room.cpus * f64::from(count);
-                entry.gpus += spec.room.gpus * f64::from(count);
+                entry.add(Grant::of(spec.room.times(f64::from(count))));
             }
         }
         used
