Review, case 1: one job with a mistake blocks the machines for all jobs

Cause: a machine on which a task has failed takes one task at a time, and tasks that were on it before count, so that with a replica of a service on it nothing starts there any more; the failure is forgotten only when a task completes.

Change: review/1 with its claim and its script.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""An accepted job is submitted again after the controllers came back: is the answer 200, as it must be?"""
+"""A job with a mistake fails on the machines until its user cancels it. Do other jobs still start there afterwards?"""
 import os
 import sys
 
@@ -6,60 +6,80 @@
 sys.path.insert(0, os.path.dirname(HERE))
 from standins import *
 
-# Jobs of earlier hours: more than one page of the state service (1,000 keys) holds.
-EARLIER_JOBS = 1010
-# Jobs that the last job of the pipeline names.
-NEEDED = 17
-# How long users repeat a submission, by the page.
-USERS_REPEAT_S = 60.0
+# "no job is left waiting for 90 s while a machine that fits has room and its team is under its limit"
+WAITING_S = 90.0
 
 
 async def scenario(world, trouble):
     for name in world.names:
         await world.start_controller(name)
     await world.until_ready()
-    # A pipeline is taken once all controllers have declared that they read it.
-    await world.submit(job("wk-000001", "campo", run_s=600.0))
-    await world.cancel("wk-000001", world.names[0])
 
-    # The earlier jobs name a cancelled one: accepted as aborted, so that they fill the store in little time.
-    gate = asyncio.Semaphore(30)
+    # Each machine has one replica of a service: jobs bound to its zone and type.
+    machines = {n: m for n, m in world.cloud.machines.items()}
+    for number, (name, machine) in enumerate(sorted(machines.items())):
+        await world.submit(job(f"wk-{100 + number:06}", "acerto", cpus=1.0, mem=1.0, Feitio="standing", PrevisaoS=0.0,
+                               Modelos=[machine["model"]], Parcela=machine["zone"]))
+    end = now() + 20
+    while set(world.on.values()) != set(machines):
+        if now() > end:
+            raise CannotRun("the services do not run on each machine")
+        await asyncio.sleep(0.1)
 
-    async def earlier(number):
-        async with gate:
-            return await world.submit(job(f"wk-{100000 + number:06}", "campo", needs=["wk-000001"]), quiet=True)
-
-    answers = await asyncio.gather(*[earlier(n) for n in range(EARLIER_JOBS)])
-    accepted = sum(1 for status, _ in answers if status in (200, 201))
-    world.record(accepted, "earlier jobs accepted,", len(world.state.data), "keys in the state service")
-    if accepted < EARLIER_JOBS:
-        raise CannotRun("not all earlier jobs were accepted")
+    if trouble:
+        # Submitted with a mistake: fails wherever it runs. Its user cancels it after some seconds.
+        failed = set()
+        left = world.left
 
-    # The pipeline: jobs that run, and one that needs them all.
-    needed = [f"wk-{500000 + n:06}" for n in range(NEEDED)]
-    await asyncio.gather(*[world.submit(job(ref, "cantina", run_s=1.0)) for ref in needed])
-    last = job("wk-600000", "cantina", needs=needed, run_s=1.0)
-    status, _ = await world.submit(last)
-    if status not in (200, 201) or await world.until_done("wk-600000", 40) != "done":
-        raise CannotRun("the pipeline did not end")
+        def leaves(worker, task, attempt, why):
+            left(worker, task, attempt, why)
+            if why == "error":
+                failed.add(worker.name)
 
-    if trouble:
-        for name in world.names:
-            await world.kill_controller(name)
-        await asyncio.sleep(3.0)
-        for name in world.names:
-            await world.start_controller(name)
-        await world.until_ready()
+        world.left = leaves
+        await world.submit(job("wk-000200", "cantina", tasks=42, run_s=9.0, fails=True))
+        end = now() + 15
+        while now() < end and failed != set(machines):
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(1.0)
+        world.record("the faulty job has failed on", json.dumps(sorted(failed)))
+        if await world.cancel("wk-000200", world.names[0]) != "aborted":
+            raise CannotRun("the job was not cancelled")
+        end = now() + 10
+        while any(t.startswith("wk-000200/") for m in world.cloud.machines.values() if m["worker"]
+                  for t in m["worker"].tasks):
+            if now() > end:
+                raise CannotRun("tasks of the cancelled job are left")
+            await asyncio.sleep(0.1)
+        world.record("the cancelled job is gone from all machines: the trouble is over")
 
-    # The user's program repeats the submission. It is done: every poll says so.
+    # Another team's job, well inside its guarantee.
+    good = job("wk-000300", "campo", tasks=4, run_s=5.0)
+    await world.submit(good)
     began = now()
-    status, value = await world.submit(last, limit=USERS_REPEAT_S)
-    world.record("the submission was repeated for", f"{now() - began:.1f} s, last answer", status, json.dumps(value))
-    if status != 200:
-        world.breaks("POST /api/jobs", "an accepted job was submitted again for 60 s and not once answered 200, but",
-                     status, json.dumps(value))
-    polled, value = await world.poll("wk-600000", world.names[0])
-    world.record("a poll of the same job:", polled, json.dumps(value))
+    room_since = {}
+    while now() - began < WAITING_S + 2.0 and not any(t.startswith("wk-000300/") for t in world.on) \
+            and "wk-000300/0" not in world.done:
+        # Which machines that fit have had room all the while: up, reporting, and their tasks leave enough.
+        for name, machine in world.cloud.machines.items():
+            worker = machine["worker"]
+            kind = next(t for t in world.cloud.types if t["Label"] == machine["model"])
+            used = [world.jobs[t.split("/")[0]] for t, e in (worker.tasks.items() if worker else ()) if e["state"] != "exited"]
+            fits = (worker is not None and worker.alive and now() - worker.answered < 2 * worker.timing["report_s"]
+                    and sum(j["Cpus"] for j in used) + good["Cpus"] <= kind["Cpus"]
+                    and sum(j["MemGb"] for j in used) + good["MemGb"] <= kind["MemGb"])
+            if fits:
+                room_since.setdefault(name, now())
+            else:
+                room_since.pop(name, None)
+        await asyncio.sleep(0.2)
+    waited = now() - began
+    room = sorted(n for n, at in room_since.items() if now() - at >= WAITING_S)
+    world.record("wk-000300 waited", f"{waited:.1f} s; machines that fit and had room all the while:", json.dumps(room))
+    if waited >= WAITING_S and room:
+        await world.poll("wk-000300", world.names[0])
+        world.breaks("left waiting", f"wk-000300 (4 tasks of 2 CPUs; its team uses nothing else) has waited {waited:.1f} s "
+                     f"without a start, while {len(room)} machines that fit had room: {' '.join(room)}")
 
 
-main(HERE, scenario, vindima_next)
+main(HERE, scenario, vindima)
--- a/review/standins.py
+++ b/review/standins.py
@@ -158,6 +158,8 @@
         # extra latency in seconds, by controller
         self.delay = {}
         self.rejected = []
+        # when the last lease of a controller ended, by controller; None while it has one
+        self.lease_owner, self.without_lease_since = {}, {}
 
     def apply(self, changes):
         self.revision += 1
@@ -185,6 +187,9 @@
 
     def end_lease(self, lease):
         _, _, keys = self.leases.pop(lease)
+        who = self.lease_owner.pop(lease)
+        if who not in self.lease_owner.values():
+            self.without_lease_since[who] = now()
         keys = [k for k in keys if k in self.data and self.data[k][2] == lease]
         if keys:
             self.apply([("delete", k, None, None) for k in keys])
@@ -219,6 +224,8 @@
             ttl = json.loads(body)["TtlMs"] / 1000
             self.next_lease += 1
             self.leases[self.next_lease] = [ttl, now() + ttl, set()]
+            self.lease_owner[self.next_lease] = who
+            self.without_lease_since.pop(who, None)
             return 200, {"Arrendo": self.next_lease}
         if path.startswith("/leases/"):
             lease = int(path.split("/")[2])
@@ -327,6 +334,7 @@
                     machine["gone"] = now()
                     self.world.record("cloud released", name, "for", who)
                     if machine["worker"]:
+                        self.world.released(name, machine["worker"], who)
                         machine["worker"].kill("released")
             return 200, {}
         if value["Pedido"] in self.answers:
@@ -438,6 +446,7 @@
                         self.token = token
                         self.change()
                     self.answered = max(self.answered, sent)
+                    self.world.answered(self, self.node, token, value.get("Ordens", []))
                     for order in value.get("Ordens", []):
                         self.obey(order)
             elif status == 421 and (value or {}).get("RespondeA") in self.world.names and value["RespondeA"] != self.node:
@@ -499,6 +508,13 @@
         entry["state"], entry["on"] = "running", True
         self.world.started(self, task, entry["attempt"])
         self.change()
+        if job.get("fails"):
+            await self.pause(0.5)
+            entry["timer"] = None
+            self.leave(task, entry, "error")
+            entry["state"], entry["why"] = "exited", "error"
+            self.change()
+            return
         if job["Feitio"] == "standing":
             return
         await self.pause(job["run_s"])
@@ -559,6 +575,12 @@
         if self.on.get(task) == worker.name:
             del self.on[task]
 
+    def answered(self, worker, node, token, orders):
+        """A worker has accepted the answer to its report. Cases that judge answers replace this."""
+
+    def released(self, name, worker, node):
+        """The cloud deletes a machine for a controller. Cases that judge deletions replace this."""
+
     async def watch_cancelled(self):
         limit = self.settings["deployment"]["workers"]["cancel_s"]
         while True:
@@ -650,7 +672,7 @@
         """Submits a job as users do: repeated for up to 60 s in all. Returns the last status and answer."""
         self.jobs.setdefault(body["Ref"], {"run_s": 2.0, **body})
         end, turn = now() + limit, random.randrange(len(self.names))
-        wire = {k: v for k, v in body.items() if k != "run_s"}
+        wire = {k: v for k, v in body.items() if k not in ("run_s", "fails")}
         while True:
             name = node or self.names[turn % len(self.names)]
             client = Client(self.ports[name]["serve"])
@@ -805,7 +827,9 @@
         try:
             await world.start_outside()
             for model, zone in machines:
-                world.cloud.rent(model, zone, False, 0.1)
+                # Up since long before.
+                name = world.cloud.rent(model, zone, False, 0.1)
+                world.cloud.machines[name].update(rented=-300.0, up=-250.0)
             await asyncio.wait_for(scenario(world, os.environ.get("TROUBLE", "1") != "0"), 115)
         except (CannotRun, asyncio.TimeoutError) as error:
             world.record("cannot run:", repr(error))
