Review: stand-ins end what they started when a run is cut off, and record each report

Cause: a run that timeout ended left its controllers behind, and an error of a stand-in ended with 1 like a broken rule.

Change: SIGTERM ends the run with 2 and all its processes; every error of a stand-in gives 2; a controller that ends by itself gives 2, since no case judges that; the record has each report of a worker and its answer.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -27,7 +27,7 @@
 
     async def earlier(number):
         async with gate:
-            return await world.submit(job(f"wk-{100000 + number:06}", "campo", needs=["wk-000001"]), quiet=True)
+            return await world.submit(job(f"wk-{100000 + number:06}", "campo", needs=["wk-000001"]))
 
     answers = await asyncio.gather(*[earlier(n) for n in range(EARLIER_JOBS)])
     accepted = sum(1 for status, _ in answers if status in (200, 201))
--- a/review/standins.py
+++ b/review/standins.py
@@ -13,7 +13,7 @@
 import sys
 import tempfile
 import time
-import tomllib
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 T0 = time.monotonic()
@@ -439,6 +439,8 @@
                 await asyncio.sleep(0.05)
             if now() - sent > 4.0:
                 status = 0
+            self.world.record("worker", self.name, "reports to", self.node, f"Selo {report['Selo']},", len(report["Tarefas"]),
+                              "tasks ->", status or "no answer", json.dumps(value)[:300] if value else "")
             if status == 200:
                 token = value.get("Selo")
                 if session == self.session and token is not None and token >= self.token:
@@ -537,6 +539,8 @@
         self.temp = tempfile.mkdtemp(prefix="snowshelf-review-")
         self.processes, self.tasks, self.jobs = {}, set(), {}
         self.on, self.done, self.broken = {}, set(), []
+        # controllers that ended without being told to
+        self.ended = []
         self.cancel_told, self.worker_cut = {}, set()
         self.cloud = Cloud(self, types, capacity)
         self.state = StateService(settings["deployment"]["state"])
@@ -626,8 +630,8 @@
         self.spawn(self.watch_cancelled())
 
     async def start_controller(self, name):
-        with open(os.path.join(ROOT, "deploy", "service.toml"), "rb") as file:
-            command = tomllib.load(file)["run"].split()
+        with open(os.path.join(ROOT, "deploy", "service.toml"), encoding="utf-8") as file:
+            command = next(line.split('"')[1] for line in file if line.startswith("run")).split()
         log = open(os.path.join(self.temp, name + ".log"), "ab")
         process = await asyncio.create_subprocess_exec(
             *command, os.path.join(self.temp, name + ".toml"), cwd=ROOT, stderr=log, stdout=log,
@@ -640,7 +644,8 @@
         code = await process.wait()
         if self.processes.get(name) is process:
             self.processes.pop(name)
-            self.breaks("ended", "controller", name, "ended by itself with", code)
+            self.ended.append(f"controller {name} ended by itself with {code}")
+            self.record(self.ended[-1])
 
     async def kill_controller(self, name):
         process = self.processes.pop(name)
@@ -824,6 +829,9 @@
 
     async def run():
         world = World(folder, settings, types, capacity)
+        # `timeout` ends a run that takes too long: its processes end with it.
+        running = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, running.cancel)
         try:
             await world.start_outside()
             for model, zone in machines:
@@ -831,18 +839,27 @@
                 name = world.cloud.rent(model, zone, False, 0.1)
                 world.cloud.machines[name].update(rented=-300.0, up=-250.0)
             await asyncio.wait_for(scenario(world, os.environ.get("TROUBLE", "1") != "0"), 115)
-        except (CannotRun, asyncio.TimeoutError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             world.record("cannot run:", repr(error))
             print("cannot run:", repr(error))
+            if not isinstance(error, CannotRun):
+                traceback.print_exc()
             if not world.broken:
                 return 2
         finally:
             world.clean_up()
+        if world.ended and not world.broken:
+            print("cannot run:", *world.ended)
+            return 2
         for rule, words in world.broken:
             print("broken:", rule, words)
         world.record("end:", "broken" if world.broken else "held")
         return 1 if world.broken else 0
 
-    code = asyncio.run(run())
+    try:
+        code = asyncio.run(run())
+    except BaseException:
+        traceback.print_exc()
+        code = 2
     sys.stdout.flush()
     os._exit(code)
