Review: ports of a case lie below those of outgoing connections

Cause: one of the runs beside others could not start a controller, because an outgoing connection had taken its port.

--- a/review/standins.py
+++ b/review/standins.py
@@ -33,9 +33,17 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for s in sockets:
-        s.bind(("127.0.0.1", 0))
+    """Free ports below those that the system gives to outgoing connections, so that none takes one meanwhile."""
+    sockets = []
+    for port in random.SystemRandom().sample(range(12_000, 32_000), 2_000):
+        if len(sockets) == count:
+            break
+        s = socket.socket()
+        try:
+            s.bind(("127.0.0.1", port))
+            sockets.append(s)
+        except OSError:
+            s.close()
     ports = [s.getsockname()[1] for s in sockets]
     for s in sockets:
         s.close()
@@ -598,10 +606,8 @@
     # -- processes
 
     def write_settings(self):
-        self.ports = {}
-        for name in self.names:
-            serve, peer, state, cloud = free_ports(4)
-            self.ports[name] = {"serve": serve, "peer": peer, "state": state, "cloud": cloud}
+        ports = iter(free_ports(4 * len(self.names)))
+        self.ports = {name: {use: next(ports) for use in ("serve", "peer", "state", "cloud")} for name in self.names}
         for name in self.names:
             p = self.ports[name]
             lines = [f'member = "{name}"', 'site = "central"', f'serve_on = "127.0.0.1:{p["serve"]}"',
@@ -667,7 +673,7 @@
         end = now() + limit
         for name in names or self.names:
             while not await self.ready(name):
-                if now() > end:
+                if self.ended or now() > end:
                     raise CannotRun(f"{name} is not ready")
                 await asyncio.sleep(0.2)
 
