The plan leaves running tasks where they are

Cause: the autoscaler's plan took every machine for empty and packed all unfinished tasks onto them anew, the running ones too. Free room in pieces on several machines so counted as the room of one. Running tasks do not move, and nothing ends the state while they run.

Change: a machine counts with what its started tasks leave free, and only tasks that wait, or that are on a machine which counts no more, are placed. Started tasks are deducted from their team's quota before waiting ones. Reservations claim whole machines as before, whatever runs there.

--- a/src/coordination/autoscaler/demand.rs
+++ b/src/coordination/autoscaler/demand.rs
@@ -5,7 +5,7 @@
 use crate::coordination::placement::{estimated_run_s, wait_limit_s};
 use crate::coordination::shard::reservations::{expected_stay_ms, provisioning_lead_ms};
 use snowshelf_calendar::constraints::PoolReservation;
-use snowshelf_model::ids::{JobId, Team, WallClockMillis, seconds_to_ms};
+use snowshelf_model::ids::{JobId, MachineId, Team, WallClockMillis, seconds_to_ms};
 use snowshelf_model::records::{JobRecord, JobSpec, JobState, Resources};
 use std::collections::BTreeMap;
 
@@ -20,12 +20,84 @@
     cpus: f64,
 }
 
+/// What jobs and reservations need, and what they use.
+#[derive(Default)]
+pub(super) struct Demand {
+    /// Tasks to place on free resources or on further machines.
+    pub(super) tasks: Vec<TaskDemand>,
+    /// Resources that started tasks hold on machines of the supply.
+    pub(super) used: BTreeMap<MachineId, Resources>,
+}
+
+/// A ready job and its unfinished tasks.
+struct ReadyJob<'a> {
+    spec: &'a JobSpec,
+    tasks: UnfinishedTasks,
+    blocked_s: f64,
+}
+
+/// A job's unfinished tasks.
+#[derive(Clone, Copy, Default)]
+struct UnfinishedTasks {
+    /// Tasks started on machines of the supply, where they stay.
+    started: u32,
+    /// Waiting tasks, and tasks started on machines that do not count as supply.
+    to_place: u32,
+}
+
+impl UnfinishedTasks {
+    fn total(self) -> u32 {
+        self.started + self.to_place
+    }
+}
+
 /// Returns the demand of all ready jobs, and of reservations as far as it exceeds the demand of their teams'
-/// jobs.
-pub(super) fn task_demand(context: &Context<'_>) -> Vec<TaskDemand> {
-    let mut demand = Vec::new();
+/// jobs. `is_supply` tells whether a machine counts as supply.
+pub(super) fn demand(context: &Context<'_>, is_supply: impl Fn(&MachineId) -> bool) -> Demand {
+    let mut demand = Demand::default();
     let mut job_demand = Vec::new();
     let mut quotas = team_quotas(context);
+    let jobs = ready_jobs(context, is_supply, &mut demand.used);
+    for job in &jobs {
+        if let Some(remaining) = quotas.get_mut(job.spec.team.as_str()) {
+            remaining.sub(job.spec.resources.times(f64::from(job.tasks.started)));
+        }
+    }
+    for job in &jobs {
+        let (spec, tasks) = (job.spec, job.tasks);
+        // No machines are requested for tasks over the team's quota, because they cannot start.
+        let mut within_quota = tasks.to_place;
+        if let Some(remaining) = quotas.get_mut(spec.team.as_str()) {
+            within_quota = within_quota.min(spec.resources.count_in(*remaining));
+            remaining.sub(spec.resources.times(f64::from(within_quota)));
+        }
+        job_demand.push(JobDemand {
+            team: spec.team.clone(),
+            zone: spec.zone.clone(),
+            types: spec.types.clone(),
+            cpus: f64::from(tasks.total()) * spec.resources.cpus,
+        });
+        let split = QuotaSplit {
+            started: tasks.started,
+            within_quota,
+            over_quota: tasks.to_place - within_quota,
+        };
+        demand
+            .tasks
+            .push(demand_of(spec, &split, job.blocked_s, context));
+    }
+    demand.tasks.extend(reserved_demand(job_demand, context));
+    demand
+}
+
+/// Returns the jobs with unfinished tasks that wait for no other job. Adds to `used` what their tasks hold on
+/// machines of the supply.
+fn ready_jobs<'a>(
+    context: &'a Context<'_>,
+    is_supply: impl Fn(&MachineId) -> bool,
+    used: &mut BTreeMap<MachineId, Resources>,
+) -> Vec<ReadyJob<'a>> {
+    let mut ready = Vec::new();
     for (id, record) in &context.records.jobs {
         let (Some(spec), JobState::Open) = (&record.value.spec, record.value.state) else {
             continue;
@@ -33,30 +105,17 @@
         if !context.dependency_graph.is_ready(id, &record.value) {
             continue;
         }
-        let blocked_s = context.dependency_graph.blocked_s(id, &record.value);
-        let tasks = unfinished_tasks(id, &record.value, context);
-        // No machines are requested for tasks over the team's quota, because they cannot start.
-        let mut within_quota = tasks;
-        if let Some(remaining) = quotas.get_mut(spec.team.as_str()) {
-            within_quota = tasks.min(spec.resources.count_in(*remaining));
-            remaining.sub(spec.resources.times(f64::from(within_quota)));
-        }
-        if tasks > 0 {
-            job_demand.push(JobDemand {
-                team: spec.team.clone(),
-                zone: spec.zone.clone(),
-                types: spec.types.clone(),
-                cpus: f64::from(tasks) * spec.resources.cpus,
+        let tasks = unfinished_tasks(id, &record.value, spec, context, &is_supply, used);
+        if tasks.total() > 0 {
+            let blocked_s = context.dependency_graph.blocked_s(id, &record.value);
+            ready.push(ReadyJob {
+                spec,
+                tasks,
+                blocked_s,
             });
-            let split = QuotaSplit {
-                within_quota,
-                over_quota: tasks - within_quota,
-            };
-            demand.push(demand_of(spec, &split, blocked_s, context));
         }
     }
-    demand.extend(reserved_demand(job_demand, context));
-    demand
+    ready
 }
 
 /// Returns the quota of each team, by team name.
@@ -73,24 +132,56 @@
     quotas.collect()
 }
 
-/// Counts a job's tasks that are waiting or started.
-fn unfinished_tasks(id: &JobId, record: &JobRecord, context: &Context<'_>) -> u32 {
-    let mut tasks = 0;
+/// Counts a job's unfinished tasks, and adds to `used` what the started ones hold on machines of the supply.
+fn unfinished_tasks(
+    id: &JobId,
+    record: &JobRecord,
+    spec: &JobSpec,
+    context: &Context<'_>,
+    is_supply: &impl Fn(&MachineId) -> bool,
+    used: &mut BTreeMap<MachineId, Resources>,
+) -> UnfinishedTasks {
+    let mut tasks = UnfinishedTasks::default();
     for shard_id in &record.shards {
-        let allocation = context.records.allocations.get(&(*shard_id, id.clone()));
-        if let Some(allocation) = allocation {
-            tasks += allocation.value.waiting.len() + allocation.value.started_count();
+        let Some(allocation) = context.records.allocations.get(&(*shard_id, id.clone())) else {
+            continue;
+        };
+        tasks.to_place += allocation.value.waiting.len();
+        for (machine, started) in &allocation.value.started {
+            let count = started.len();
+            if !is_supply(machine) {
+                tasks.to_place += count;
+                continue;
+            }
+            tasks.started += count;
+            let held = spec.resources.times(f64::from(count));
+            match used.get_mut(machine) {
+                Some(resources) => resources.add(held),
+                None => {
+                    used.insert(machine.clone(), held);
+                }
+            }
         }
     }
     tasks
 }
 
-/// A job's unfinished tasks, split by whether they fit into its team's quota.
+/// A job's unfinished tasks, split by whether they have started and whether they fit into its team's quota.
 struct QuotaSplit {
+    started: u32,
     within_quota: u32,
     over_quota: u32,
 }
 
+impl QuotaSplit {
+    /// Returns how many tasks to place so that the started and placed tasks are `factor` times those within the
+    /// quota.
+    fn to_place(&self, factor: f64) -> u32 {
+        let scaled = f64::from(self.started + self.within_quota) * factor;
+        (scaled.ceil() as u32).saturating_sub(self.started)
+    }
+}
+
 fn demand_of(
     spec: &JobSpec,
     split: &QuotaSplit,
@@ -100,10 +191,10 @@
     let settings = &context.config.ops;
     let objectives = &context.config.settings.deployment.objectives;
     let estimate_s = estimated_run_s(spec, settings.default_run_s);
-    let tasks = f64::from(split.within_quota) * settings.capacity_factor;
     TaskDemand {
+        is_reservation: false,
         resources: spec.resources,
-        tasks: tasks.ceil() as u32,
+        tasks: split.to_place(settings.capacity_factor),
         over_quota_cpu_s: f64::from(split.over_quota) * spec.resources.cpus * estimate_s,
         types: spec.types.clone(),
         zone: spec.zone.clone(),
@@ -163,6 +254,7 @@
         let machines = machines_for(uncovered, machine_resources);
         if machines > 0.0 {
             demand.push(TaskDemand {
+                is_reservation: true,
                 resources: machine_resources,
                 tasks: machines.min(f64::from(u32::MAX)) as u32,
                 types: Some(vec![hold.pool.model.to_string()]),
--- a/src/coordination/autoscaler/planning.rs
+++ b/src/coordination/autoscaler/planning.rs
@@ -30,9 +30,12 @@
     pub model: String,
 }
 
-/// Demand of a group of identical tasks.
+/// Demand of a group of identical tasks that are not on machines of the supply.
 #[derive(Clone, Debug)]
 pub struct TaskDemand {
+    /// Whether each task stands for a whole machine of a reservation, which may be any machine of the supply,
+    /// whatever runs on it now.
+    pub is_reservation: bool,
     /// Resources that each task needs.
     pub resources: Resources,
     /// Number of tasks to place on machines.
@@ -95,7 +98,7 @@
 pub struct MachineSupply {
     /// The pool of the machine.
     pub pool: Pool,
-    /// Free resources of the machine.
+    /// Resources of the machine that no started task holds.
     pub free: Resources,
 }
 
@@ -126,12 +129,20 @@
     excluded: &BTreeSet<Pool>,
 ) -> BTreeMap<Pool, u32> {
     let pools = available_pools(types, excluded);
-    // Demand with the most constraints is placed first.
-    let mut most_constrained_first: Vec<&TaskDemand> = demand.iter().collect();
-    most_constrained_first.sort_by_key(|d| (d.spot, d.types.is_none(), d.zone.is_none()));
     // Spot instances are filled first, which leaves on-demand machines to jobs that cannot use spot
     // instances.
     supply.sort_by_key(|machine| !machine.pool.spot);
+    let (reserved, mut tasks): (Vec<_>, Vec<_>) = demand.iter().partition(|d| d.is_reservation);
+    let mut unclaimed = Vec::new();
+    for demand in reserved {
+        let claimed = claim_machines(demand, &mut supply);
+        unclaimed.push(TaskDemand {
+            tasks: demand.tasks - claimed,
+            ..demand.clone()
+        });
+    }
+    // Demand with the most constraints is placed first.
+    tasks.sort_by_key(|d| (d.spot, d.types.is_none(), d.zone.is_none()));
     let mut planner = Planner {
         types,
         capacity_index: CapacityIndex::default(),
@@ -142,12 +153,28 @@
         let index = &mut planner.capacity_index;
         index.push(|other| *other == pool, || pool.clone(), free, ());
     }
-    for demand in most_constrained_first {
+    for demand in unclaimed.iter().chain(tasks) {
         planner.satisfy(demand, &pools);
     }
     planner.requested
 }
 
+/// Takes machines for a reservation out of the supply, those with the most free CPUs first. Returns their number.
+fn claim_machines(demand: &TaskDemand, supply: &mut Vec<MachineSupply>) -> u32 {
+    let mut claimable: Vec<usize> = (0..supply.len())
+        .filter(|index| demand.allows(&supply[*index].pool))
+        .collect();
+    claimable.sort_by(|a, b| supply[*b].free.cpus.total_cmp(&supply[*a].free.cpus));
+    claimable.truncate(demand.tasks as usize);
+    let claimed = claimable.len() as u32;
+    // Removal from the end keeps the lower indices valid.
+    claimable.sort_unstable();
+    for index in claimable.into_iter().rev() {
+        supply.remove(index);
+    }
+    claimed
+}
+
 /// Returns all pools from which machines may be requested.
 fn available_pools(types: &BTreeMap<String, MachineType>, excluded: &BTreeSet<Pool>) -> Vec<Pool> {
     let mut pools = Vec::new();
--- a/src/coordination/autoscaler/scale_out.rs
+++ b/src/coordination/autoscaler/scale_out.rs
@@ -1,13 +1,14 @@
 //! Scale-out: requests for machines, repeated under the same name until the cloud responds conclusively.
 
 use super::Autoscaler;
-use super::demand::task_demand;
+use super::demand::demand;
 use super::planning::{MachineSupply, Pool, plan};
 use crate::coordination::cloud_client::CloudRequest;
 use crate::coordination::context::Context;
 use crate::effects::{Effects, Method};
 use snowshelf_model::ids::{MachineId, MonotonicMillis};
 use snowshelf_model::protocol::cloud::{ListedMachineState, ScaleOutResponse, scale_out_body};
+use snowshelf_model::records::Resources;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Maximum machines in one request.
@@ -171,15 +172,16 @@
     /// Requests machines for the demand that exceeds the supply.
     pub(super) fn scale_out(&mut self, context: &mut Context<'_>) {
         let now = context.now();
-        let demand = task_demand(context);
-        let supply = self.supply(context);
+        let machines = self.supplied_machines(context);
+        let demand = demand(context, |machine| machines.contains_key(machine));
+        let supply = self.supply(machines, &demand.used, context);
         let excluded = self.scale_out.excluded_pools(now);
         let cpus = |request: &PlannedRequest| {
             let machine_type = context.machine_types.get(&request.pool.model);
             machine_type.map_or(0.0, |t| t.cpus) * f64::from(request.machines)
         };
         let mut planned: Vec<PlannedRequest> =
-            plan(&demand, supply, context.machine_types, &excluded)
+            plan(&demand.tasks, supply, context.machine_types, &excluded)
                 .into_iter()
                 .map(|(pool, machines)| PlannedRequest {
                     pool,
@@ -210,33 +212,51 @@
         }
     }
 
-    /// Returns all machines that are listed and not failed, started or requested.
-    fn supply(&self, context: &Context<'_>) -> Vec<MachineSupply> {
-        let mut supply = Vec::new();
-        let mut add = |pool: Pool| {
-            if let Some(machine_type) = context.machine_types.get(&pool.model) {
-                let free = machine_type.capacity();
-                supply.push(MachineSupply { pool, free });
-            }
-        };
+    /// Returns the machines that count as supply, with their pools: those that are listed and not failed, and
+    /// those that have started.
+    fn supplied_machines(&self, context: &Context<'_>) -> BTreeMap<MachineId, Pool> {
+        let mut machines = BTreeMap::new();
         for listed in self.list.listed.values() {
             // A machine that a drain empties does not count as supply, so that its replacement is requested
             // while it is still in service.
             let is_leaving = context.drains.leaving.contains(&listed.machine);
             if listed.state != ListedMachineState::Failed && !is_leaving {
-                add(Pool {
+                let pool = Pool {
                     model: listed.model.clone(),
                     zone: listed.zone.clone(),
                     spot: listed.spot,
-                });
+                };
+                machines.insert(listed.machine.clone(), pool);
             }
         }
-        for started in self.scale_out.started.values() {
-            add(started.pool.clone());
+        for (name, started) in &self.scale_out.started {
+            machines.insert(name.clone(), started.pool.clone());
+        }
+        machines
+    }
+
+    /// Returns the free resources of the machines that count as supply, and of those requested. Started tasks stay
+    /// where they are, so that free resources on several machines do not add up to those of one.
+    fn supply(
+        &self,
+        machines: BTreeMap<MachineId, Pool>,
+        used: &BTreeMap<MachineId, Resources>,
+        context: &Context<'_>,
+    ) -> Vec<MachineSupply> {
+        let mut supply = Vec::new();
+        let mut add = |pool: Pool, used: Resources| {
+            if let Some(machine_type) = context.machine_types.get(&pool.model) {
+                let mut free = machine_type.capacity();
+                free.sub(used);
+                supply.push(MachineSupply { pool, free });
+            }
+        };
+        for (name, pool) in machines {
+            add(pool, used.get(&name).copied().unwrap_or_default());
         }
         for request in self.scale_out.requests.values() {
             for _ in 0..request.machines {
-                add(request.pool.clone());
+                add(request.pool.clone(), Resources::default());
             }
         }
         supply
--- a/tests/autoscaler_plan.rs
+++ b/tests/autoscaler_plan.rs
@@ -59,6 +59,7 @@
     let size = (1..6u32, 1..20u32, 0..60u32, 0..3u32);
     (size, of, zone, any::<bool>(), closed_pools).prop_map(
         |((cpus, mem, tasks, late), types, zone, spot, closed_pools)| TaskDemand {
+            is_reservation: false,
             resources: resources(cpus, mem),
             tasks,
             over_quota_cpu_s: 0.0,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -42,6 +42,7 @@
 
 fn task_demand(tasks: u32, spot: bool) -> TaskDemand {
     TaskDemand {
+        is_reservation: false,
         closed_pools: Vec::new(),
         resources: Resources {
             cpus: 2.0,
--- /dev/null
+++ b/tests/standing_jobs.rs
@@ -0,0 +1,123 @@
+//! Standing jobs in simulations of whole controllers: a replica that is lost is started again while the cloud has a
+//! machine for it.
+
+use serde_json::{Value, json};
+use snowshelf_simulation::workers::WorkerTask;
+use snowshelf_simulation::{DisabledSafeguards, Simulation, SimulationConditions};
+
+/// Time within which a lost replica must run again once a machine for it can be had, in milliseconds. Users accept
+/// that a job waits this long while there is capacity.
+const RECOVERY_MS: u64 = 90_000;
+/// Time within which a new service must run, in milliseconds.
+const START_MS: u64 = 60_000;
+/// Interval at which a condition is tested, in milliseconds.
+const STEP_MS: u64 = 500;
+
+/// A simulation without random faults and jobs.
+fn quiet_simulation(seed: u64) -> Simulation {
+    if std::env::var("LOG_LEVEL").is_ok() {
+        let _ = tracing_subscriber::fmt().without_time().try_init();
+    }
+    Simulation::sized(
+        seed,
+        SimulationConditions::FAULT_FREE,
+        DisabledSafeguards::default(),
+        0,
+        0,
+        (100.0, 4),
+    )
+}
+
+/// Adds a service that may use on-demand machines alone, unless `spec` says otherwise. Returns the index of its user.
+fn add_service(simulation: &mut Simulation, at: u64, spec: &Value) -> usize {
+    let mut service = json!({"Feitio": "standing", "PrevisaoS": 0.0});
+    for (field, value) in spec.as_object().into_iter().flatten() {
+        service[field] = value.clone();
+    }
+    simulation.add_user(at, service);
+    let user = simulation.users.len() - 1;
+    let job = simulation.users[user].job.clone();
+    simulation.endless_jobs.insert(job);
+    user
+}
+
+/// Names of the machines on which replicas of a service run, one entry per replica.
+fn machines_of(simulation: &Simulation, user: usize) -> Vec<String> {
+    let prefix = format!("{}/", simulation.users[user].job);
+    let mut machines = Vec::new();
+    for (name, worker) in &simulation.workers {
+        let running = worker.tasks.iter().filter(|t| WorkerTask::is_running(t));
+        let replicas = running.filter(|t| t.name.starts_with(&prefix)).count();
+        machines.extend(std::iter::repeat_n(name.clone(), replicas));
+    }
+    machines
+}
+
+/// Runs the simulation until `condition` holds. Panics if that takes longer than `within_ms`.
+#[track_caller]
+fn run_until(
+    simulation: &mut Simulation,
+    within_ms: u64,
+    what: &str,
+    condition: impl Fn(&Simulation) -> bool,
+) {
+    let deadline = simulation.now + within_ms;
+    while !condition(simulation) {
+        let workers = simulation.workers.iter();
+        let machines: Vec<String> = workers.map(|(name, w)| w.describe(name)).collect();
+        assert!(
+            simulation.now < deadline,
+            "{what}: not within {within_ms} ms: {machines:#?}"
+        );
+        let until = simulation.now + STEP_MS;
+        simulation.run(until);
+        simulation.now = until;
+        assert_eq!(simulation.violations, Vec::<String>::new(), "{what}");
+    }
+}
+
+/// Stops a machine with all that is on it.
+fn stop_machine(simulation: &mut Simulation, name: &str) {
+    let now = simulation.now;
+    simulation.cloud.fail(now, name);
+    simulation.workers.remove(name);
+}
+
+/// Guards against a replica that never starts again after its machine failed, because the free room that counts for
+/// it is spread over several machines, where it cannot run.
+#[test]
+fn replica_restarts_when_free_room_is_spread_over_machines() {
+    for seed in 1..=4 {
+        let mut simulation = quiet_simulation(seed);
+        let small: Vec<usize> = (0..4)
+            .map(|_| add_service(&mut simulation, 2_000, &json!({"Cpus": 4.0})))
+            .collect();
+        run_until(&mut simulation, START_MS, "the small services", |s| {
+            small.iter().all(|user| machines_of(s, *user).len() == 1)
+        });
+        let now = simulation.now;
+        let large = add_service(&mut simulation, now, &json!({"Cpus": 8.0}));
+        run_until(&mut simulation, START_MS, "the large service", |s| {
+            machines_of(s, large).len() == 1
+        });
+        // One small service stays on each of the other machines.
+        let mut kept = std::collections::BTreeSet::new();
+        for user in small {
+            if !kept.insert(machines_of(&simulation, user)) {
+                simulation.users[user].cancel_at = Some(simulation.now);
+            }
+        }
+        assert_eq!(kept.len(), 2, "seed {seed}");
+        let settled = simulation.now + 10_000;
+        simulation.run(settled);
+        simulation.now = settled;
+        let host = machines_of(&simulation, large).remove(0);
+        stop_machine(&mut simulation, &host);
+        run_until(
+            &mut simulation,
+            RECOVERY_MS,
+            "the large service again",
+            |s| machines_of(s, large).len() == 1,
+        );
+    }
+}
