A job and a machine are tried again after failures, whatever runs already

Cause: after two failures a job's tasks were tried one at a time, and a replica that ran before held up the others, since it never completes. The machine was closed to the job until a task completed there, which none does on a machine for services, and it still counted as room for the cluster leader. A single failure was enough for the second.

Change: a trial after failures is one task that was started since. Tasks started before hold nothing up. Failures and trials of jobs and machines are in shard/failures.rs.

--- a/src/coordination/shard/backfill.rs
+++ b/src/coordination/shard/backfill.rs
@@ -121,7 +121,7 @@
     /// if the job fails repeatedly.
     fn has_finished_tasks(&self, id: &JobId, context: &Context<'_>) -> Option<bool> {
         let job = self.jobs.get(id);
-        let job = job.filter(|j| j.started_tasks == 0 && j.consecutive_failures < MAX_FAILURES)?;
+        let job = job.filter(|j| j.started_tasks == 0 && j.failures.consecutive < MAX_FAILURES)?;
         let others = job.record.shards.iter().filter(|s| **s != self.id);
         let mut allocations =
             others.filter_map(|s| context.records.allocations.get(&(*s, id.clone())));
--- a/src/coordination/shard/capacity.rs
+++ b/src/coordination/shard/capacity.rs
@@ -60,9 +60,12 @@
     pub name: MachineId,
     /// Resources of the machine without any task.
     pub total: Resources,
-    /// A task failed on it and none has completed since.
+    /// A task failed on it and none has completed since: it is tried with one task at a time.
     pub has_failures: bool,
-    reported_tasks: u32,
+    /// A task is being tried on it after failures.
+    pub awaits_trial: bool,
+    /// The jobs whose tasks have failed on it may use it.
+    accepts_failed_jobs: bool,
     pub images: Images,
     /// Time until its next heartbeat is expected; 0 if a response is deferred.
     next_heartbeat_ms: u64,
@@ -135,8 +138,9 @@
             let machine = SchedulableMachine {
                 name: name.clone(),
                 total,
-                has_failures: !m.failed_jobs.is_empty(),
-                reported_tasks: m.reported_tasks.len() as u32,
+                has_failures: m.failures.requires_trial(),
+                awaits_trial: m.failures.pending_trial(&self.jobs).is_some(),
+                accepts_failed_jobs: m.failures.retry_at <= now,
                 images: m.images.clone(),
                 next_heartbeat_ms: match m.deferred_response {
                     Some(_) => 0,
@@ -192,11 +196,10 @@
     let (machine, class) = (&entry.machine, pass.capacity_index.class(entry));
     let max_tasks = if !machine.has_failures {
         u32::MAX
-    } else if job.failed_on.contains(&machine.name) {
-        0
     } else {
-        // A task failed on it and none has completed since: it runs one task at a time.
-        1u32.saturating_sub(machine.reported_tasks)
+        let is_barred =
+            job.failures.machines.contains(&machine.name) && !machine.accepts_failed_jobs;
+        u32::from(!machine.awaits_trial && !is_barred)
     };
     let image = machine.images.state(job.image_id);
     MachineCandidate {
--- a/src/coordination/shard/job.rs
+++ b/src/coordination/shard/job.rs
@@ -1,12 +1,13 @@
 //! A shard's allocation of one job: durable state, desired state, and the pending changes between
 //! them.
 
+use super::failures::JobFailures;
 use crate::storage::record_cache::VersionedRecord;
-use snowshelf_model::ids::{MachineId, MonotonicMillis, TaskIndex, Version};
+use snowshelf_model::ids::{MonotonicMillis, TaskIndex, Version};
 use snowshelf_model::records::{
     AllocationChange, AllocationChangeKind, JobRecord, JobSpec, JobState, ShardAllocation,
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// A change of an allocation that is not durable yet.
@@ -61,10 +62,8 @@
     pub write_backoff_until: MonotonicMillis,
     /// Number that identifies the job's image within this shard.
     pub image_id: u32,
-    /// Machines on which a task of the job has failed.
-    pub failed_on: BTreeSet<MachineId>,
-    /// Failures since a task last completed.
-    pub consecutive_failures: u32,
+    /// Failures of its tasks.
+    pub failures: JobFailures,
     /// For jobs of DAG runs: failures of each task known to this leader.
     pub task_failures: BTreeMap<TaskIndex, u32>,
     /// No task is placed before this time.
@@ -95,8 +94,7 @@
             dependencies_satisfied,
             write_backoff_until: MonotonicMillis(0),
             image_id,
-            failed_on: BTreeSet::new(),
-            consecutive_failures: 0,
+            failures: JobFailures::default(),
             task_failures: BTreeMap::new(),
             placement_backoff_until: MonotonicMillis(0),
         }
--- a/src/coordination/shard/machine.rs
+++ b/src/coordination/shard/machine.rs
@@ -1,5 +1,6 @@
 //! A machine as its shard's leader sees it.
 
+use super::failures::MachineFailures;
 use crate::coordination::images::Images;
 use crate::coordination::placement::UNKNOWN_ZONE;
 use snowshelf_calendar::calendar::Pool;
@@ -59,8 +60,8 @@
     pub idle_since: Option<MonotonicMillis>,
     /// Images on the machine, by their numbers in the shard.
     pub images: Images,
-    /// Jobs whose tasks have failed here since a task last completed here, one entry per failure.
-    pub failed_jobs: Vec<JobId>,
+    /// Failures of tasks here.
+    pub failures: MachineFailures,
     /// Why its tasks are evicted so that it can be released, if they are.
     pub retirement: Option<RetirementReason>,
     /// A drain has cordoned the machine: nothing starts here, and its tasks end or are evicted
@@ -152,7 +153,7 @@
             deferred_response: None,
             idle_since: None,
             images: Images::default(),
-            failed_jobs: Vec::new(),
+            failures: MachineFailures::default(),
             retirement: None,
             cordoned: false,
             cordon_changed_at: MonotonicMillis(0),
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -12,6 +12,7 @@
 mod demand;
 mod disruption;
 mod eviction;
+mod failures;
 mod heartbeats;
 mod job;
 mod job_table;
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -3,6 +3,7 @@
 use super::Shard;
 use super::capacity::CapacityIndex;
 use super::demand::DemandMatch;
+use super::failures::Trial;
 use super::job::ShardJob;
 use super::placement_request::{PlacementRequest, PlacementScope};
 use super::queue::QueuedJob;
@@ -181,6 +182,7 @@
             scope,
             job,
             spec,
+            awaits_trial: self.awaits_trial(&queued.job),
         };
         let wanted = request.wanted_tasks();
         if wanted == 0 {
@@ -205,7 +207,7 @@
         if candidates.is_empty() {
             // A job barred from machines where its tasks failed says nothing about other jobs of
             // this shape.
-            if job.failed_on.is_empty() && !request.on_reserved_machine() {
+            if job.failures.machines.is_empty() && !request.on_reserved_machine() {
                 pass.unplaceable.insert(shape);
             }
             return None;
@@ -326,10 +328,13 @@
                 if !self.apply_change(now, id, start) {
                     break;
                 }
+                self.begin_trial(Trial::new(id, task, attempt, &name));
                 pass.capacity_index
                     .allocate(machine.entry_index, selection.resources);
                 used.add(Grant::from(selection.resources));
             }
+            let indexed = pass.capacity_index.machine_mut(machine.entry_index);
+            indexed.awaits_trial |= indexed.has_failures;
             let Some(m) = self.machines.get_mut(&name) else {
                 continue;
             };
--- a/src/coordination/shard/placement_request.rs
+++ b/src/coordination/shard/placement_request.rs
@@ -10,10 +10,6 @@
 use snowshelf_model::ids::MachineId;
 use snowshelf_model::records::JobSpec;
 
-/// After this many consecutive failures without a completed task, a job's tasks are tried one at a
-/// time.
-const FAILURES_BEFORE_SINGLE_TASKS: u32 = 2;
-
 /// Where a job's tasks may be placed.
 #[derive(Clone, PartialEq)]
 pub(super) enum PlacementScope {
@@ -32,6 +28,8 @@
     pub scope: &'a PlacementScope,
     pub job: &'a ShardJob,
     pub spec: &'a JobSpec,
+    /// One of the job's tasks is being tried after failures.
+    pub awaits_trial: bool,
 }
 
 impl PlacementRequest<'_> {
@@ -48,12 +46,12 @@
     /// Returns how many tasks may be started now.
     pub(super) fn wanted_tasks(&self) -> u32 {
         let waiting = self.job.desired.waiting.len();
-        if self.job.consecutive_failures >= FAILURES_BEFORE_SINGLE_TASKS
-            && self.job.desired.finished.is_empty()
-        {
-            waiting.min(1u32.saturating_sub(self.job.started_tasks))
-        } else {
+        if !self.job.failures.requires_trial() || !self.job.desired.finished.is_empty() {
             waiting
+        } else if self.awaits_trial {
+            0
+        } else {
+            waiting.min(1)
         }
     }
 
--- a/src/coordination/shard/reconciling.rs
+++ b/src/coordination/shard/reconciling.rs
@@ -110,6 +110,7 @@
             self.apply_change(now, &result.task.job, change);
             self.apply_outcome_signal(name, &result.task, result.outcome.signal, context);
         }
+        self.observe_trials(name, context);
         self.track_idle(name, now);
     }
 
@@ -169,10 +170,10 @@
             OutcomeSignal::Neutral => {}
             OutcomeSignal::Success => {
                 if let Some(m) = self.machines.get_mut(name) {
-                    m.failed_jobs.clear();
+                    m.failures.clear();
                 }
                 if let Some(job) = self.jobs.get_mut(&task.job) {
-                    job.consecutive_failures = 0;
+                    job.failures.record_success();
                 }
             }
             OutcomeSignal::Failure => {
@@ -199,12 +200,11 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        job.consecutive_failures += 1;
-        job.failed_on.insert(name.clone());
+        job.failures.record(name);
         let works_elsewhere = !job.desired.finished.is_empty();
-        let machines = job.failed_on.len();
+        let machines = job.failures.machines.len();
         if !works_elsewhere && machines >= 2 {
-            let doublings = job.consecutive_failures.min(MAX_BACKOFF_DOUBLINGS);
+            let doublings = job.failures.consecutive.min(MAX_BACKOFF_DOUBLINGS);
             let wait_ms = FAILURE_BACKOFF_MS << doublings;
             job.placement_backoff_until = now.plus(wait_ms);
             tracing::info!(job = %id, machines, wait_ms, "job backing off: tasks fail on several machines");
@@ -212,9 +212,9 @@
         let Some(m) = self.machines.get_mut(name) else {
             return;
         };
-        m.failed_jobs.push(id.clone());
-        let distinct = m.failed_jobs.iter().collect::<BTreeSet<_>>().len();
-        let should_quarantine = distinct >= 2 || (works_elsewhere && m.failed_jobs.len() >= 2);
+        m.failures.record(id, now);
+        let distinct = m.failures.jobs.iter().collect::<BTreeSet<_>>().len();
+        let should_quarantine = distinct >= 2 || (works_elsewhere && m.failures.jobs.len() >= 2);
         if should_quarantine && m.retirement.is_none() {
             m.retirement = Some(RetirementReason::Quarantine);
             tracing::info!(machine = %name, jobs = distinct, "machine quarantined: tasks fail");
--- a/tests/standing_jobs.rs
+++ b/tests/standing_jobs.rs
@@ -121,3 +121,60 @@
         );
     }
 }
+
+/// Runs the simulation until the first machine is up, and lets every task fail that starts there. Returns its name.
+fn break_first_machine(simulation: &mut Simulation) -> String {
+    while simulation.workers.is_empty() {
+        let until = simulation.now + 1;
+        simulation.run(until);
+        simulation.now = until;
+    }
+    let (name, worker) = simulation.workers.iter_mut().next().expect("a machine");
+    worker.failing = true;
+    name.clone()
+}
+
+/// Runs the simulation for `ms`, after which tasks run on the machine again.
+fn mend_machine_after(simulation: &mut Simulation, name: &str, ms: u64) {
+    let until = simulation.now + ms;
+    simulation.run(until);
+    simulation.now = until;
+    if let Some(worker) = simulation.workers.get_mut(name) {
+        worker.failing = false;
+    }
+}
+
+/// Guards against replicas that are never tried again after two failures, because tasks of a job that has failed are
+/// tried one at a time and the replicas that run never end.
+#[test]
+fn replicas_that_failed_on_a_faulty_machine_are_tried_again() {
+    for seed in 1..=4 {
+        let mut simulation = quiet_simulation(seed);
+        let service = add_service(&mut simulation, 2_000, &json!({"Tarefas": 6, "Cpus": 4.0}));
+        let machine = break_first_machine(&mut simulation);
+        mend_machine_after(&mut simulation, &machine, 12_000);
+        run_until(&mut simulation, RECOVERY_MS, "all replicas", |s| {
+            machines_of(s, service).len() == 6
+        });
+    }
+}
+
+/// Guards against a replica that is never tried again after a single failure, because its job is barred from the
+/// machine, which still counts as room for it.
+#[test]
+fn replica_that_failed_once_is_tried_again_on_the_only_machine() {
+    for seed in 1..=4 {
+        let mut simulation = quiet_simulation(seed);
+        let neighbour = add_service(&mut simulation, 2_000, &json!({"Cpus": 4.0}));
+        run_until(&mut simulation, START_MS, "the first service", |s| {
+            machines_of(s, neighbour).len() == 1
+        });
+        let machine = break_first_machine(&mut simulation);
+        let now = simulation.now;
+        let service = add_service(&mut simulation, now, &json!({"Cpus": 4.0}));
+        mend_machine_after(&mut simulation, &machine, 4_000);
+        run_until(&mut simulation, RECOVERY_MS, "the second service", |s| {
+            machines_of(s, service).len() == 1
+        });
+    }
+}
