The plan keeps zone constraints and counts machines of the job's shard alone

Cause: demand was so many tasks for any zone. A machine where placement may not put the task counted as room for it, in the plan and in the shard, which kept it as wanted. On the same path, a machine of another shard counted for a job that cannot leave its own, since it has a zone constraint and a started task.

Change: placement and the plan share one zone rule (zone_rule.rs). The plan counts the tasks that stay, chooses a zone for a Together job that has none, and takes only machines of a bound job's shard, or such as are requested and may be in any. A machine that waiting jobs may not use by their zone constraints is returned as idle.

--- a/src/coordination/autoscaler/demand.rs
+++ b/src/coordination/autoscaler/demand.rs
@@ -1,11 +1,12 @@
 //! Computes the demand for machines from jobs, within their teams' quotas, and from reservations.
 
-use super::planning::{TaskDemand, ZoneModel};
+use super::planning::{Pool, TaskDemand, ZoneModel};
 use crate::coordination::context::Context;
 use crate::coordination::placement::{estimated_run_s, wait_limit_s};
 use crate::coordination::shard::reservations::{expected_stay_ms, provisioning_lead_ms};
+use crate::coordination::zone_rule::ZoneRule;
 use snowshelf_calendar::constraints::PoolReservation;
-use snowshelf_model::ids::{JobId, MachineId, Team, WallClockMillis, seconds_to_ms};
+use snowshelf_model::ids::{JobId, MachineId, ShardId, Team, WallClockMillis, seconds_to_ms};
 use snowshelf_model::records::{JobRecord, JobSpec, JobState, Resources};
 use std::collections::BTreeMap;
 
@@ -37,34 +38,41 @@
 }
 
 /// A job's unfinished tasks.
-#[derive(Clone, Copy, Default)]
 struct UnfinishedTasks {
     /// Tasks started on machines of the supply, where they stay.
     started: u32,
     /// Waiting tasks, and tasks started on machines that do not count as supply.
     to_place: u32,
+    /// The job's zone constraints, and the zones of the tasks that stay.
+    zones: ZoneRule<String>,
+    /// The shard that the job cannot leave, because it has zone constraints and a started task.
+    shard: Option<ShardId>,
 }
 
 impl UnfinishedTasks {
-    fn total(self) -> u32 {
+    fn total(&self) -> u32 {
         self.started + self.to_place
     }
 }
 
 /// Returns the demand of all ready jobs, and of reservations as far as it exceeds the demand of their teams'
-/// jobs. `is_supply` tells whether a machine counts as supply.
-pub(super) fn demand(context: &Context<'_>, is_supply: impl Fn(&MachineId) -> bool) -> Demand {
+/// jobs. `supplied` holds the machines that count as supply.
+pub(super) fn demand(context: &Context<'_>, supplied: &BTreeMap<MachineId, Pool>) -> Demand {
     let mut demand = Demand::default();
     let mut job_demand = Vec::new();
     let mut quotas = team_quotas(context);
-    let jobs = ready_jobs(context, is_supply, &mut demand.used);
+    let jobs = ready_jobs(context, supplied, &mut demand.used);
     for job in &jobs {
         if let Some(remaining) = quotas.get_mut(job.spec.team.as_str()) {
             remaining.sub(job.spec.resources.times(f64::from(job.tasks.started)));
         }
     }
-    for job in &jobs {
-        let (spec, tasks) = (job.spec, job.tasks);
+    for ReadyJob {
+        spec,
+        tasks,
+        blocked_s,
+    } in jobs
+    {
         // No machines are requested for tasks over the team's quota, because they cannot start.
         let mut within_quota = tasks.to_place;
         if let Some(remaining) = quotas.get_mut(spec.team.as_str()) {
@@ -82,9 +90,10 @@
             within_quota,
             over_quota: tasks.to_place - within_quota,
         };
-        demand
-            .tasks
-            .push(demand_of(spec, &split, job.blocked_s, context));
+        let mut of_job = demand_of(spec, &split, blocked_s, context);
+        of_job.zones = tasks.zones;
+        of_job.shard = tasks.shard;
+        demand.tasks.push(of_job);
     }
     demand.tasks.extend(reserved_demand(job_demand, context));
     demand
@@ -94,7 +103,7 @@
 /// machines of the supply.
 fn ready_jobs<'a>(
     context: &'a Context<'_>,
-    is_supply: impl Fn(&MachineId) -> bool,
+    supplied: &BTreeMap<MachineId, Pool>,
     used: &mut BTreeMap<MachineId, Resources>,
 ) -> Vec<ReadyJob<'a>> {
     let mut ready = Vec::new();
@@ -105,7 +114,7 @@
         if !context.dependency_graph.is_ready(id, &record.value) {
             continue;
         }
-        let tasks = unfinished_tasks(id, &record.value, spec, context, &is_supply, used);
+        let tasks = unfinished_tasks(id, &record.value, spec, context, supplied, used);
         if tasks.total() > 0 {
             let blocked_s = context.dependency_graph.blocked_s(id, &record.value);
             ready.push(ReadyJob {
@@ -138,10 +147,15 @@
     record: &JobRecord,
     spec: &JobSpec,
     context: &Context<'_>,
-    is_supply: &impl Fn(&MachineId) -> bool,
+    supplied: &BTreeMap<MachineId, Pool>,
     used: &mut BTreeMap<MachineId, Resources>,
 ) -> UnfinishedTasks {
-    let mut tasks = UnfinishedTasks::default();
+    let mut tasks = UnfinishedTasks {
+        started: 0,
+        to_place: 0,
+        zones: ZoneRule::of(spec),
+        shard: None,
+    };
     for shard_id in &record.shards {
         let Some(allocation) = context.records.allocations.get(&(*shard_id, id.clone())) else {
             continue;
@@ -149,11 +163,17 @@
         tasks.to_place += allocation.value.waiting.len();
         for (machine, started) in &allocation.value.started {
             let count = started.len();
-            if !is_supply(machine) {
+            if spec.is_zone_constrained() {
+                tasks.shard = Some(*shard_id);
+            }
+            let Some(pool) = supplied.get(machine) else {
                 tasks.to_place += count;
                 continue;
-            }
+            };
             tasks.started += count;
+            if tasks.zones.is_constrained() {
+                tasks.zones.add_tasks(Some(pool.zone.clone()), count);
+            }
             let held = spec.resources.times(f64::from(count));
             match used.get_mut(machine) {
                 Some(resources) => resources.add(held),
@@ -202,6 +222,8 @@
         estimate_s,
         patience_s: settings.dear_patience * wait_limit_s(spec, objectives, blocked_s),
         closed_pools: closed_pools(expected_stay_ms(spec, context), context),
+        zones: ZoneRule::default(),
+        shard: None,
     }
 }
 
@@ -265,6 +287,8 @@
                 // Reserved machines are requested at any price.
                 patience_s: 0.0,
                 closed_pools: Vec::new(),
+                zones: ZoneRule::default(),
+                shard: None,
             });
         }
     }
--- a/src/coordination/autoscaler/planning.rs
+++ b/src/coordination/autoscaler/planning.rs
@@ -1,9 +1,12 @@
 //! Scale-out planning: a pure function that chooses the machines to request so that each task runs where it
 //! is cheapest.
 
+use crate::coordination::zone_rule::ZoneRule;
 use snowshelf_machine_index::capacity_index::{AllowedClasses, CapacityIndex};
+use snowshelf_model::ids::ShardId;
 use snowshelf_model::protocol::cloud::MachineType;
 use snowshelf_model::records::Resources;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A machine type is expensive for a job if a task costs more on it than this multiple of the lowest price on
@@ -55,6 +58,10 @@
     pub patience_s: f64,
     /// Pools in which a maintenance window begins before the tasks would end.
     pub closed_pools: Vec<ZoneModel>,
+    /// The zone constraints of the job, and where its tasks are that stay.
+    pub zones: ZoneRule<String>,
+    /// The only shard whose machines the tasks may use; `None` if they may use all.
+    pub shard: Option<ShardId>,
 }
 
 impl TaskDemand {
@@ -70,6 +77,11 @@
                 .any(|closed| closed.zone == pool.zone && closed.model == pool.model)
     }
 
+    /// Whether the tasks may use machines of a shard; `None` stands for a shard that is not known yet.
+    fn may_use_shard(&self, shard: Option<ShardId>) -> bool {
+        self.shard.is_none() || shard.is_none() || self.shard == shard
+    }
+
     /// Returns the price of one task on a fully used machine; `None` if no task fits.
     fn task_price(&self, machine_type: &MachineType, spot: bool) -> Option<f64> {
         match self.resources.count_in(machine_type.capacity()) {
@@ -98,6 +110,8 @@
 pub struct MachineSupply {
     /// The pool of the machine.
     pub pool: Pool,
+    /// The shard of the machine; `None` while it is requested and may turn out to be in any.
+    pub shard: Option<ShardId>,
     /// Resources of the machine that no started task holds.
     pub free: Resources,
 }
@@ -109,10 +123,18 @@
     tasks_per_machine: u32,
 }
 
+impl PoolOption<'_> {
+    /// Returns how many of `left` tasks a further machine would take.
+    fn tasks_now(&self, left: u32, zones: &ZoneRule<String>) -> u32 {
+        let tasks = self.tasks_per_machine.min(left);
+        tasks.min(zones.remaining(&self.pool.zone))
+    }
+}
+
 /// The state of a plan under construction.
 struct Planner<'a> {
     types: &'a BTreeMap<String, MachineType>,
-    capacity_index: CapacityIndex<Pool, ()>,
+    capacity_index: CapacityIndex<Pool, Option<ShardId>>,
     /// Number of machines to request, by pool.
     requested: BTreeMap<Pool, u32>,
     /// Work of tasks that must wait for a free machine, in CPU seconds.
@@ -149,9 +171,9 @@
         requested: BTreeMap::new(),
         backlog_cpu_s: 0.0,
     };
-    for MachineSupply { pool, free } in supply {
+    for MachineSupply { pool, shard, free } in supply {
         let index = &mut planner.capacity_index;
-        index.push(|other| *other == pool, || pool.clone(), free, ());
+        index.push(|other| *other == pool, || pool.clone(), free, shard);
     }
     for demand in unclaimed.iter().chain(tasks) {
         planner.satisfy(demand, &pools);
@@ -201,15 +223,21 @@
 impl Planner<'_> {
     /// Places the tasks of one demand on the supply, and plans machines for the remaining tasks.
     fn satisfy(&mut self, demand: &TaskDemand, pools: &[Pool]) {
-        let allowed = self.capacity_index.allowed(|pool| demand.allows(pool));
-        let mut left = self.place_on_supply(demand, &allowed);
+        let gang_zone = self.zone_for_gang(demand, pools);
+        let in_gang_zone = |pool: &Pool| gang_zone.as_ref().is_none_or(|zone| *zone == pool.zone);
+        let allowed = self
+            .capacity_index
+            .allowed(|pool| demand.allows(pool) && in_gang_zone(pool));
+        let mut zones = demand.zones.clone();
+        let mut left = self.place_on_supply(demand, &allowed, &mut zones);
         let cpus = |pool: &Pool| self.types.get(&pool.model).map_or(0.0, |t| t.cpus);
         let sizes = self.capacity_index.class_sizes(&allowed);
         let mut usable_cpus: f64 = sizes.map(|(pool, n)| n as f64 * cpus(pool)).sum();
         let min_price = demand.min_task_price(self.types);
-        let options = self.options(demand, left, pools);
+        let mut options = self.options(demand, left, pools);
+        options.retain(|option| in_gang_zone(option.pool));
         while left > 0 {
-            let Some(option) = self.cheapest_option(&options, left) else {
+            let Some(option) = self.cheapest_option(&options, left, &zones) else {
                 break;
             };
             let PoolOption {
@@ -224,33 +252,77 @@
                     break;
                 }
             }
-            let tasks = option.tasks_per_machine.min(left);
+            let tasks = option.tasks_now(left, &zones);
             let mut free = machine_type.capacity();
             free.sub(demand.resources.times(f64::from(tasks)));
             usable_cpus += machine_type.cpus;
             self.capacity_index
-                .push(|other| other == *pool, || (*pool).clone(), free, ());
+                .push(|other| other == *pool, || (*pool).clone(), free, None);
+            zones.add_tasks(Some(pool.zone.clone()), tasks);
             left -= tasks;
             *self.requested.entry((*pool).clone()).or_default() += 1;
         }
         self.backlog_cpu_s += demand.over_quota_cpu_s + demand.work_cpu_s(left);
     }
 
-    /// Places tasks on the supply. Returns how many do not fit.
-    fn place_on_supply(&mut self, demand: &TaskDemand, allowed: &AllowedClasses) -> u32 {
+    /// Places tasks on the supply, and counts them in `zones`. Returns how many do not fit.
+    fn place_on_supply(
+        &mut self,
+        demand: &TaskDemand,
+        allowed: &AllowedClasses,
+        zones: &mut ZoneRule<String>,
+    ) -> u32 {
         let mut left = demand.tasks;
-        if left > 0 {
-            for index in self.capacity_index.fitting(demand.resources, allowed) {
-                let free = self.capacity_index.entries()[index].free;
-                let tasks = demand.resources.count_in(free).min(left);
-                self.capacity_index
-                    .allocate(index, demand.resources.times(f64::from(tasks)));
-                left -= tasks;
+        if left == 0 {
+            return 0;
+        }
+        for index in self.capacity_index.fitting(demand.resources, allowed) {
+            let entry = &self.capacity_index.entries()[index];
+            if !demand.may_use_shard(entry.machine) {
+                continue;
             }
+            let mut tasks = demand.resources.count_in(entry.free).min(left);
+            if zones.is_constrained() {
+                let zone = &self.capacity_index.class(entry).zone;
+                tasks = tasks.min(zones.remaining(zone));
+                zones.add_tasks(Some(zone.clone()), tasks);
+            }
+            self.capacity_index
+                .allocate(index, demand.resources.times(f64::from(tasks)));
+            left -= tasks;
         }
         left
     }
 
+    /// Returns the zone for the tasks of a job that must share one and has none on a machine: one where all fit or
+    /// machines can be requested, and there the one with room for the most tasks. `None` if the demand has no
+    /// such constraint.
+    fn zone_for_gang(&mut self, demand: &TaskDemand, pools: &[Pool]) -> Option<String> {
+        if !demand.zones.gang || !demand.zones.has_no_tasks() {
+            return None;
+        }
+        let mut room: BTreeMap<String, u32> = BTreeMap::new();
+        let allowed = self.capacity_index.allowed(|pool| demand.allows(pool));
+        for index in self.capacity_index.fitting(demand.resources, &allowed) {
+            let entry = &self.capacity_index.entries()[index];
+            let zone = self.capacity_index.class(entry).zone.clone();
+            let tasks = room.entry(zone).or_default();
+            *tasks = tasks.saturating_add(demand.resources.count_in(entry.free));
+        }
+        let options = self.options(demand, demand.tasks, pools);
+        let requestable: BTreeSet<String> = options.iter().map(|o| o.pool.zone.clone()).collect();
+        for zone in &requestable {
+            room.entry(zone.clone()).or_default();
+        }
+        let rank = |(zone, tasks): (String, u32)| {
+            let tasks = tasks.min(demand.tasks);
+            let can_hold_all = tasks == demand.tasks || requestable.contains(&zone);
+            ((can_hold_all, tasks), Reverse(zone))
+        };
+        let best = room.into_iter().map(rank).max();
+        best.map(|(_, Reverse(zone))| zone)
+    }
+
     /// Returns the pools that can satisfy a demand; none if it has no tasks left.
     fn options<'p>(&self, demand: &TaskDemand, left: u32, pools: &'p [Pool]) -> Vec<PoolOption<'p>>
     where
@@ -278,10 +350,14 @@
         &self,
         options: &'o [PoolOption<'p>],
         left: u32,
+        zones: &ZoneRule<String>,
     ) -> Option<&'o PoolOption<'p>> {
-        let priced = options.iter().map(|option| {
+        let usable = options
+            .iter()
+            .filter(|option| option.tasks_now(left, zones) > 0);
+        let priced = usable.map(|option| {
             // The last machine may be partly empty, so its price is divided by the tasks placed on it.
-            let tasks = option.tasks_per_machine.min(left);
+            let tasks = option.tasks_now(left, zones);
             let price = option.machine_type.price(option.pool.spot) / f64::from(tasks);
             let requested = self.requested.get(option.pool).copied().unwrap_or(0);
             (price, requested, option)
--- a/src/coordination/autoscaler/scale_out.rs
+++ b/src/coordination/autoscaler/scale_out.rs
@@ -6,7 +6,7 @@
 use crate::coordination::cloud_client::CloudRequest;
 use crate::coordination::context::Context;
 use crate::effects::{Effects, Method};
-use snowshelf_model::ids::{MachineId, MonotonicMillis};
+use snowshelf_model::ids::{MachineId, MonotonicMillis, ShardId, shard_of};
 use snowshelf_model::protocol::cloud::{ListedMachineState, ScaleOutResponse, scale_out_body};
 use snowshelf_model::records::Resources;
 use std::collections::{BTreeMap, BTreeSet};
@@ -173,7 +173,7 @@
     pub(super) fn scale_out(&mut self, context: &mut Context<'_>) {
         let now = context.now();
         let machines = self.supplied_machines(context);
-        let demand = demand(context, |machine| machines.contains_key(machine));
+        let demand = demand(context, &machines);
         let supply = self.supply(machines, &demand.used, context);
         let excluded = self.scale_out.excluded_pools(now);
         let cpus = |request: &PlannedRequest| {
@@ -244,19 +244,24 @@
         context: &Context<'_>,
     ) -> Vec<MachineSupply> {
         let mut supply = Vec::new();
-        let mut add = |pool: Pool, used: Resources| {
+        let mut add = |pool: Pool, shard: Option<ShardId>, used: Resources| {
             if let Some(machine_type) = context.machine_types.get(&pool.model) {
                 let mut free = machine_type.capacity();
                 free.sub(used);
-                supply.push(MachineSupply { pool, free });
+                supply.push(MachineSupply { pool, shard, free });
             }
         };
         for (name, pool) in machines {
-            add(pool, used.get(&name).copied().unwrap_or_default());
+            let shard = shard_of(name.as_str(), context.config.shard_count);
+            add(
+                pool,
+                Some(shard),
+                used.get(&name).copied().unwrap_or_default(),
+            );
         }
         for request in self.scale_out.requests.values() {
             for _ in 0..request.machines {
-                add(request.pool.clone(), Resources::default());
+                add(request.pool.clone(), None, Resources::default());
             }
         }
         supply
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -28,3 +28,4 @@
 pub mod shard_capacity;
 pub mod storage_budget;
 mod unavailable;
+mod zone_rule;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -4,6 +4,7 @@
 //! stays free on machine `i` once as many of the job's tasks as fit are placed there, and
 //! `w_k = (estimate-weighted mean request of queued jobs * allocated / capacity) / capacity`.
 
+pub use super::zone_rule::ZoneRule;
 use crate::settings::Objective;
 use snowshelf_model::protocol::cloud::MachineType;
 use snowshelf_model::records::{JobSpec, Resources};
@@ -147,44 +148,9 @@
     weights.cpus * rest.cpus + weights.gpus * rest.gpus + weights.mem * rest.mem
 }
 
-/// A job's zone constraints, and how its tasks are spread over the zones now.
-#[derive(Clone, Debug, Default)]
-pub struct ZoneRule {
-    /// Whether all tasks must be placed in the same zone.
-    pub gang: bool,
-    /// Largest number of tasks in one zone; `None` without a limit.
-    pub max_per_zone: Option<u32>,
-    /// Number of tasks that are or may be on machines, by zone.
-    pub tasks_by_zone: BTreeMap<usize, u32>,
-}
-
 /// The index of a zone that is unknown or not named in the settings.
 pub(crate) const UNKNOWN_ZONE: usize = usize::MAX;
 
-impl ZoneRule {
-    /// Counts tasks that may be on machines of a zone. After a failover the zone may not be known yet (`None`): as the
-    /// tasks may be in any zone, they are subtracted from the limit of every zone.
-    pub fn add_tasks(&mut self, zone: Option<usize>, tasks: u32) {
-        if let (None, Some(max_per_zone)) = (zone, &mut self.max_per_zone) {
-            *max_per_zone = max_per_zone.saturating_sub(tasks);
-        } else {
-            let zone = zone.unwrap_or(UNKNOWN_ZONE);
-            *self.tasks_by_zone.entry(zone).or_default() += tasks;
-        }
-    }
-
-    /// The number of tasks that may still be placed in a zone.
-    fn remaining(&self, zone: usize) -> u32 {
-        let here = self.tasks_by_zone.get(&zone).copied().unwrap_or(0);
-        let elsewhere = self.tasks_by_zone.iter().any(|(z, n)| *z != zone && *n > 0);
-        if self.gang && elsewhere {
-            return 0;
-        }
-        self.max_per_zone
-            .map_or(u32::MAX, |most| most.saturating_sub(here))
-    }
-}
-
 /// A candidate with its sort keys.
 struct RankedCandidate {
     /// Whether the machine is scarce, the start delay, the image's state and the number of other fetches. The lowest
@@ -259,7 +225,7 @@
     zones: &mut ZoneRule,
 ) -> Vec<(usize, u32)> {
     let mut ranked = ranked_candidates(task, wanted, candidates, weights);
-    if zones.gang && zones.tasks_by_zone.values().all(|n| *n == 0) {
+    if zones.gang && zones.has_no_tasks() {
         // The first task determines the zone of all.
         if let Some(zone) = largest_zone(task, &ranked, candidates) {
             ranked.retain(|r| candidates[r.index].zone == zone);
@@ -276,7 +242,7 @@
             .count_in(candidate.free)
             .min(candidate.max_tasks)
             .min(remaining)
-            .min(zones.remaining(candidate.zone));
+            .min(zones.remaining(&candidate.zone));
         if tasks > 0 {
             zones.add_tasks(Some(candidate.zone), tasks);
             chosen.push((index, tasks));
--- a/src/coordination/shard/demand.rs
+++ b/src/coordination/shard/demand.rs
@@ -5,6 +5,7 @@
 use super::capacity::{CapacityIndex, MachineClass, MachineKind};
 use super::job::ShardJob;
 use crate::coordination::context::Context;
+use crate::coordination::zone_rule::ZoneRule;
 use snowshelf_model::ids::{JobId, WallClockMillis};
 use snowshelf_model::records::{JobSpec, Resources};
 use std::collections::BTreeSet;
@@ -69,8 +70,8 @@
         }
     }
 
-    /// Finds the waiting jobs that could run on some machine if it were empty, and the machines
-    /// that none of them could use. Each machine kind is matched separately, so that a job bound to
+    /// Finds the waiting jobs that could run on some machine if it were empty, given where their other tasks
+    /// are, and the machines that none of them could use. Each machine kind is matched separately, so that a job bound to
     /// a zone with full machines does not keep idle machines of another zone from other jobs.
     fn match_demand(
         &self,
@@ -79,8 +80,10 @@
         context: &Context<'_>,
     ) -> DemandMatch {
         let classes = class_capacities(index);
-        let could_run = |spec: &JobSpec, c: &ClassCapacity<'_>| {
-            spec.resources.fits_in(c.total) && self.is_eligible(spec, c.class, context)
+        let could_run = |spec: &JobSpec, zones: Option<&ZoneRule>, c: &ClassCapacity<'_>| {
+            spec.resources.fits_in(c.total)
+                && self.is_eligible(spec, c.class, context)
+                && zones.is_none_or(|zones| zones.remaining(&c.class.zone) > 0)
         };
         let mut unwanted: Vec<&ClassCapacity<'_>> = classes.iter().collect();
         let mut wanted = BTreeSet::new();
@@ -90,7 +93,10 @@
             if unwanted.is_empty() && !offers_due {
                 break;
             }
-            let unplaceable = !classes.iter().any(|c| could_run(spec, c));
+            let zones = spec
+                .is_zone_constrained()
+                .then(|| self.zone_rule(job, spec));
+            let unplaceable = !classes.iter().any(|c| could_run(spec, zones.as_ref(), c));
             let offer = steal_offer(id, job, unplaceable, context);
             // Once tasks of a zone-bound job have started here, its other tasks stay here.
             if job.started_tasks == 0 || !spec.is_zone_constrained() {
@@ -100,7 +106,7 @@
                 continue;
             }
             unwanted.retain(|c| {
-                let wants = could_run(spec, c);
+                let wants = could_run(spec, zones.as_ref(), c);
                 if wants {
                     wanted.insert(c.class.kind());
                 }
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -246,12 +246,8 @@
 
     /// Returns the zone constraints of a job's tasks, taking into account the tasks that are on
     /// machines already.
-    fn zone_rule(&self, job: &ShardJob, spec: &JobSpec) -> ZoneRule {
-        let mut zones = ZoneRule {
-            gang: spec.gang,
-            max_per_zone: spec.spread.then(|| spec.tasks.div_ceil(2)),
-            ..ZoneRule::default()
-        };
+    pub(super) fn zone_rule(&self, job: &ShardJob, spec: &JobSpec) -> ZoneRule {
+        let mut zones = ZoneRule::of(spec);
         if spec.is_zone_constrained() {
             for (name, ranges) in &job.desired.started {
                 let zone = self.machines.get(name).map(|m| m.zone);
--- a/tests/autoscaler_plan.rs
+++ b/tests/autoscaler_plan.rs
@@ -4,6 +4,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 use snowshelf::coordination::autoscaler::{MachineSupply, Pool, TaskDemand, ZoneModel, plan};
+use snowshelf::coordination::placement::ZoneRule;
 use snowshelf_model::protocol::cloud::MachineType;
 use snowshelf_model::records::Resources;
 use std::collections::{BTreeMap, BTreeSet};
@@ -60,6 +61,8 @@
     (size, of, zone, any::<bool>(), closed_pools).prop_map(
         |((cpus, mem, tasks, late), types, zone, spot, closed_pools)| TaskDemand {
             is_reservation: false,
+            zones: ZoneRule::default(),
+            shard: None,
             resources: resources(cpus, mem),
             tasks,
             over_quota_cpu_s: 0.0,
@@ -164,7 +167,11 @@
             reach += t.cpus;
             left -= n;
             *rent.entry(pool.clone()).or_default() += 1;
-            supply.push(MachineSupply { pool, free });
+            supply.push(MachineSupply {
+                pool,
+                shard: None,
+                free,
+            });
         }
         backlog +=
             demand.over_quota_cpu_s + f64::from(left) * demand.resources.cpus * demand.estimate_s;
@@ -193,7 +200,7 @@
             let supply = machines.iter().map(|(pool, taken)| {
                 let mut free = types[&pool.model].capacity();
                 free.sub(resources(*taken, 2 * taken));
-                MachineSupply { pool: pool.clone(), free }
+                MachineSupply { pool: pool.clone(), shard: None, free }
             });
             supply.collect::<Vec<MachineSupply>>()
         };
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -43,6 +43,8 @@
 fn task_demand(tasks: u32, spot: bool) -> TaskDemand {
     TaskDemand {
         is_reservation: false,
+        zones: ZoneRule::default(),
+        shard: None,
         closed_pools: Vec::new(),
         resources: Resources {
             cpus: 2.0,
@@ -83,6 +85,7 @@
         (0..4)
             .map(|_| MachineSupply {
                 pool: pool(true),
+                shard: None,
                 free: machine_capacity(),
             })
             .collect::<Vec<_>>()
--- a/tests/standing_jobs.rs
+++ b/tests/standing_jobs.rs
@@ -2,6 +2,7 @@
 //! machine for it.
 
 use serde_json::{Value, json};
+use snowshelf_simulation::faults::Fault;
 use snowshelf_simulation::workers::WorkerTask;
 use snowshelf_simulation::{DisabledSafeguards, Simulation, SimulationConditions};
 
@@ -24,7 +25,7 @@
         DisabledSafeguards::default(),
         0,
         0,
-        (100.0, 4),
+        (100.0, 8),
     )
 }
 
@@ -178,3 +179,73 @@
         });
     }
 }
+
+/// Zones in which the replicas of a service run, one entry per replica.
+fn zones_of(simulation: &Simulation, user: usize) -> Vec<String> {
+    let machines = machines_of(simulation, user);
+    let zones = machines
+        .iter()
+        .map(|name| simulation.workers[name].zone.clone());
+    zones.collect()
+}
+
+/// Adds services that each fill a machine, and waits until they run. New machines then belong to other shards than
+/// the first ones.
+fn occupy_machines(simulation: &mut Simulation, count: usize) {
+    let services: Vec<usize> = (0..count)
+        .map(|_| add_service(simulation, 2_000, &json!({"Cpus": 8.0})))
+        .collect();
+    run_until(simulation, START_MS, "the other services", |s| {
+        services.iter().all(|user| machines_of(s, *user).len() == 1)
+    });
+}
+
+/// Guards against a replica of a service with `Apart` that never starts again after its zone was isolated, because a
+/// machine in the other replica's zone counts as room for it.
+#[test]
+fn apart_replica_restarts_after_its_zone_was_isolated() {
+    for seed in 1..=4 {
+        let mut simulation = quiet_simulation(seed);
+        let spec = json!({"Tarefas": 2, "Cpus": 8.0, "Apart": true});
+        let service = add_service(&mut simulation, 2_000, &spec);
+        run_until(&mut simulation, START_MS, "both replicas", |s| {
+            machines_of(s, service).len() == 2
+        });
+        let isolated_ms = 45_000;
+        simulation.inject(simulation.now, isolated_ms, Fault::ZoneIsolation("b"));
+        let end = simulation.now + isolated_ms;
+        simulation.run(end);
+        simulation.now = end;
+        run_until(&mut simulation, RECOVERY_MS, "both replicas again", |s| {
+            machines_of(s, service).len() == 2
+        });
+    }
+}
+
+/// Guards against a replica that never starts again because the new machine belongs to another shard than the other
+/// replicas: a job with a zone constraint stays in one shard once a task has started.
+#[test]
+fn zone_constrained_replica_restarts_when_new_machines_belong_to_other_shards() {
+    for (occupied, constraint) in [(0, "Apart"), (3, "Apart"), (5, "Together"), (7, "Together")] {
+        for seed in 1..=2 {
+            let mut simulation = quiet_simulation(seed);
+            occupy_machines(&mut simulation, occupied);
+            let now = simulation.now;
+            let mut spec = json!({"Tarefas": 4, "Cpus": 4.0});
+            spec[constraint] = json!(true);
+            let service = add_service(&mut simulation, now, &spec);
+            run_until(&mut simulation, RECOVERY_MS, "all replicas", |s| {
+                machines_of(s, service).len() == 4
+            });
+            let host = machines_of(&simulation, service).remove(0);
+            stop_machine(&mut simulation, &host);
+            run_until(&mut simulation, RECOVERY_MS, "all replicas again", |s| {
+                machines_of(s, service).len() == 4
+            });
+            let zones = zones_of(&simulation, service);
+            let in_first_zone = zones.iter().filter(|zone| **zone == zones[0]).count();
+            let allowed = if constraint == "Apart" { 2 } else { 4 };
+            assert_eq!(in_first_zone, allowed, "{constraint}: {zones:?}");
+        }
+    }
+}
