On-demand machines are requested for tasks that wait longer than the plan expected

Cause: a machine that costs more than 1.5 times the lowest price is requested only if the usable machines cannot do the waiting work within the job's patience. They counted with the CPUs of service replicas, which never become free, and the time that the work had already waited counted for nothing.

The three new tests of standing_jobs fail without this change: nothing is requested within 90 s for two replicas of a taken machine, for a job behind services, and for a job behind tasks that overrun their estimate.

Change: CPUs of service replicas do not count as usable. The time for which a job's tasks exceed the machines in service and starting is deducted from its patience; requests without a response do not reset it. The reference model of autoscaler_plan has both, draws them at random, and also compares which demands are unmet; decisions has a test of the CPUs of services, and one of the zone constraints and shards in the plan.

--- a/crates/simulation/src/cloud.rs
+++ b/crates/simulation/src/cloud.rs
@@ -37,6 +37,8 @@
 pub struct Cloud {
     /// Maximum number of machines in a pool. Each zone has two pools: its spot and its on-demand machines.
     pub pool_limit: usize,
+    /// Maximum number of spot machines in a zone, if it is lower. Machines above it stay.
+    pub spot_pool_limit: usize,
     /// Machines by id.
     pub machines: BTreeMap<String, Machine>,
     rental_responses: BTreeMap<String, Value>,
@@ -63,6 +65,7 @@
     pub fn new(pool_limit: usize) -> Cloud {
         Cloud {
             pool_limit,
+            spot_pool_limit: usize::MAX,
             machines: BTreeMap::new(),
             rental_responses: BTreeMap::new(),
             next_number: 0,
@@ -81,8 +84,13 @@
         }
         let in_pool = |m: &&Machine| m.zone == body["Parcela"] && m.spot == body["Avulsas"];
         let rented = self.machines.values().filter(in_pool).count();
-        let number = (body["Number"].as_u64().unwrap_or(0) as usize)
-            .min(self.pool_limit.saturating_sub(rented));
+        let limit = if body["Avulsas"] == json!(true) {
+            self.pool_limit.min(self.spot_pool_limit)
+        } else {
+            self.pool_limit
+        };
+        let number =
+            (body["Number"].as_u64().unwrap_or(0) as usize).min(limit.saturating_sub(rented));
         if number == 0 {
             let body = json!({"error": "no capacity"}).to_string().into_bytes();
             return ((503, body), Vec::new());
--- a/src/coordination/autoscaler/demand.rs
+++ b/src/coordination/autoscaler/demand.rs
@@ -1,13 +1,14 @@
 //! Computes the demand for machines from jobs, within their teams' quotas, and from reservations.
 
 use super::planning::{Pool, TaskDemand, ZoneModel};
+use super::unmet_demand::UnmetDemand;
 use crate::coordination::context::Context;
 use crate::coordination::placement::{estimated_run_s, wait_limit_s};
 use crate::coordination::shard::reservations::{expected_stay_ms, provisioning_lead_ms};
 use crate::coordination::zone_rule::ZoneRule;
 use snowshelf_calendar::constraints::PoolReservation;
 use snowshelf_model::ids::{JobId, MachineId, ShardId, Team, WallClockMillis, seconds_to_ms};
-use snowshelf_model::records::{JobRecord, JobSpec, JobState, Resources};
+use snowshelf_model::records::{JobKind, JobRecord, JobSpec, JobState, Resources};
 use std::collections::BTreeMap;
 
 /// Memory quota of every team, in GB: larger than any demand, because memory has no quota.
@@ -24,14 +25,26 @@
 /// What jobs and reservations need, and what they use.
 #[derive(Default)]
 pub(super) struct Demand {
-    /// Tasks to place on free resources or on further machines.
+    /// Tasks to place on free resources or on further machines: those of `jobs`, then those of reservations.
     pub(super) tasks: Vec<TaskDemand>,
-    /// Resources that started tasks hold on machines of the supply.
-    pub(super) used: BTreeMap<MachineId, Resources>,
+    /// The jobs of the first demands in `tasks`, in their order.
+    pub(super) jobs: Vec<JobId>,
+    /// What started tasks hold on machines of the supply.
+    pub(super) used: BTreeMap<MachineId, UsedResources>,
+}
+
+/// What started tasks hold on a machine.
+#[derive(Clone, Copy, Default)]
+pub(super) struct UsedResources {
+    /// Resources of all tasks.
+    pub(super) total: Resources,
+    /// CPUs of replicas of services.
+    pub(super) service_cpus: f64,
 }
 
 /// A ready job and its unfinished tasks.
 struct ReadyJob<'a> {
+    id: &'a JobId,
     spec: &'a JobSpec,
     tasks: UnfinishedTasks,
     blocked_s: f64,
@@ -57,7 +70,11 @@
 
 /// Returns the demand of all ready jobs, and of reservations as far as it exceeds the demand of their teams'
 /// jobs. `supplied` holds the machines that count as supply.
-pub(super) fn demand(context: &Context<'_>, supplied: &BTreeMap<MachineId, Pool>) -> Demand {
+pub(super) fn demand(
+    context: &Context<'_>,
+    supplied: &BTreeMap<MachineId, Pool>,
+    unmet: &UnmetDemand,
+) -> Demand {
     let mut demand = Demand::default();
     let mut job_demand = Vec::new();
     let mut quotas = team_quotas(context);
@@ -68,6 +85,7 @@
         }
     }
     for ReadyJob {
+        id,
         spec,
         tasks,
         blocked_s,
@@ -93,7 +111,9 @@
         let mut of_job = demand_of(spec, &split, blocked_s, context);
         of_job.zones = tasks.zones;
         of_job.shard = tasks.shard;
+        of_job.unmet_s = unmet.waited_s(id, context.effects.now);
         demand.tasks.push(of_job);
+        demand.jobs.push(id.clone());
     }
     demand.tasks.extend(reserved_demand(job_demand, context));
     demand
@@ -104,7 +124,7 @@
 fn ready_jobs<'a>(
     context: &'a Context<'_>,
     supplied: &BTreeMap<MachineId, Pool>,
-    used: &mut BTreeMap<MachineId, Resources>,
+    used: &mut BTreeMap<MachineId, UsedResources>,
 ) -> Vec<ReadyJob<'a>> {
     let mut ready = Vec::new();
     for (id, record) in &context.records.jobs {
@@ -118,6 +138,7 @@
         if tasks.total() > 0 {
             let blocked_s = context.dependency_graph.blocked_s(id, &record.value);
             ready.push(ReadyJob {
+                id,
                 spec,
                 tasks,
                 blocked_s,
@@ -148,7 +169,7 @@
     spec: &JobSpec,
     context: &Context<'_>,
     supplied: &BTreeMap<MachineId, Pool>,
-    used: &mut BTreeMap<MachineId, Resources>,
+    used: &mut BTreeMap<MachineId, UsedResources>,
 ) -> UnfinishedTasks {
     let mut tasks = UnfinishedTasks {
         started: 0,
@@ -175,11 +196,10 @@
                 tasks.zones.add_tasks(Some(pool.zone.clone()), count);
             }
             let held = spec.resources.times(f64::from(count));
-            match used.get_mut(machine) {
-                Some(resources) => resources.add(held),
-                None => {
-                    used.insert(machine.clone(), held);
-                }
+            let on_machine = used.entry(machine.clone()).or_default();
+            on_machine.total.add(held);
+            if spec.kind == JobKind::Service {
+                on_machine.service_cpus += held.cpus;
             }
         }
     }
@@ -222,6 +242,7 @@
         estimate_s,
         patience_s: settings.dear_patience * wait_limit_s(spec, objectives, blocked_s),
         closed_pools: closed_pools(expected_stay_ms(spec, context), context),
+        unmet_s: 0.0,
         zones: ZoneRule::default(),
         shard: None,
     }
@@ -286,6 +307,7 @@
                 over_quota_cpu_s: 0.0,
                 // Reserved machines are requested at any price.
                 patience_s: 0.0,
+                unmet_s: 0.0,
                 closed_pools: Vec::new(),
                 zones: ZoneRule::default(),
                 shard: None,
--- a/src/coordination/autoscaler/mod.rs
+++ b/src/coordination/autoscaler/mod.rs
@@ -7,8 +7,9 @@
 mod planning;
 mod scale_in;
 mod scale_out;
+mod unmet_demand;
 
-pub use planning::{MachineSupply, Pool, TaskDemand, ZoneModel, plan};
+pub use planning::{MachineSupply, Plan, Pool, TaskDemand, ZoneModel, plan};
 
 use super::cloud_client::{CloudClient, CloudRequest};
 use super::context::Context;
@@ -18,6 +19,7 @@
 use snowshelf_model::ids::{CallId, FencingToken, MachineId, MonotonicMillis};
 use snowshelf_model::protocol::cloud::{MachineListResponse, MachineType, MachineTypesResponse};
 use std::collections::BTreeMap;
+use unmet_demand::UnmetDemand;
 
 /// Interval at which the cluster leader records which machines send heartbeats, in milliseconds.
 const HEARTBEATS_INTERVAL_MS: u64 = 500;
@@ -37,6 +39,7 @@
     types_requested_at: Option<MonotonicMillis>,
     list: MachineList,
     scale_out: ScaleOut,
+    unmet_demand: UnmetDemand,
     planned_at: MonotonicMillis,
     /// When each machine last sent a heartbeat to any shard leader.
     heartbeats: BTreeMap<String, MonotonicMillis>,
@@ -56,6 +59,7 @@
             types_requested_at: None,
             list: MachineList::default(),
             scale_out: ScaleOut::default(),
+            unmet_demand: UnmetDemand::default(),
             planned_at: MonotonicMillis(0),
             heartbeats: BTreeMap::new(),
             heartbeats_at: MonotonicMillis(0),
--- a/src/coordination/autoscaler/planning.rs
+++ b/src/coordination/autoscaler/planning.rs
@@ -56,6 +56,8 @@
     pub over_quota_cpu_s: f64,
     /// How long the tasks may wait without missing a service-level objective, in seconds.
     pub patience_s: f64,
+    /// For how long the tasks have exceeded the machines in service and starting, in seconds.
+    pub unmet_s: f64,
     /// Pools in which a maintenance window begins before the tasks would end.
     pub closed_pools: Vec<ZoneModel>,
     /// The zone constraints of the job, and where its tasks are that stay.
@@ -114,6 +116,17 @@
     pub shard: Option<ShardId>,
     /// Resources of the machine that no started task holds.
     pub free: Resources,
+    /// CPUs that replicas of services hold, which do not become free.
+    pub service_cpus: f64,
+}
+
+/// The machines to request.
+#[derive(Default, PartialEq, Debug)]
+pub struct Plan {
+    /// Number of machines to request, by pool.
+    pub requests: BTreeMap<Pool, u32>,
+    /// Indexes of the demands of which some task fits on no machine in service or starting.
+    pub unmet: Vec<usize>,
 }
 
 /// A pool whose machines can satisfy a demand.
@@ -131,12 +144,21 @@
     }
 }
 
+/// Tasks of a demand that fit on the supply.
+#[derive(Default)]
+struct PlacedTasks {
+    total: u32,
+    /// Those on machines in service or starting, not on requested ones.
+    on_rented: u32,
+}
+
 /// The state of a plan under construction.
 struct Planner<'a> {
     types: &'a BTreeMap<String, MachineType>,
     capacity_index: CapacityIndex<Pool, Option<ShardId>>,
-    /// Number of machines to request, by pool.
-    requested: BTreeMap<Pool, u32>,
+    /// CPUs that services hold, by pool.
+    service_cpus: BTreeMap<Pool, f64>,
+    plan: Plan,
     /// Work of tasks that must wait for a free machine, in CPU seconds.
     backlog_cpu_s: f64,
 }
@@ -149,14 +171,17 @@
     mut supply: Vec<MachineSupply>,
     types: &BTreeMap<String, MachineType>,
     excluded: &BTreeSet<Pool>,
-) -> BTreeMap<Pool, u32> {
+) -> Plan {
     let pools = available_pools(types, excluded);
     // Spot instances are filled first, which leaves on-demand machines to jobs that cannot use spot
     // instances.
     supply.sort_by_key(|machine| !machine.pool.spot);
-    let (reserved, mut tasks): (Vec<_>, Vec<_>) = demand.iter().partition(|d| d.is_reservation);
+    let (reserved, mut tasks): (Vec<_>, Vec<_>) = demand
+        .iter()
+        .enumerate()
+        .partition(|(_, demand)| demand.is_reservation);
     let mut unclaimed = Vec::new();
-    for demand in reserved {
+    for (_, demand) in reserved {
         let claimed = claim_machines(demand, &mut supply);
         unclaimed.push(TaskDemand {
             tasks: demand.tasks - claimed,
@@ -164,21 +189,36 @@
         });
     }
     // Demand with the most constraints is placed first.
-    tasks.sort_by_key(|d| (d.spot, d.types.is_none(), d.zone.is_none()));
+    tasks.sort_by_key(|(_, d)| (d.spot, d.types.is_none(), d.zone.is_none()));
     let mut planner = Planner {
         types,
         capacity_index: CapacityIndex::default(),
-        requested: BTreeMap::new(),
+        service_cpus: BTreeMap::new(),
+        plan: Plan::default(),
         backlog_cpu_s: 0.0,
     };
-    for MachineSupply { pool, shard, free } in supply {
+    for machine in supply {
+        let MachineSupply {
+            pool,
+            shard,
+            free,
+            service_cpus,
+        } = machine;
+        if service_cpus > 0.0 {
+            *planner.service_cpus.entry(pool.clone()).or_default() += service_cpus;
+        }
         let index = &mut planner.capacity_index;
         index.push(|other| *other == pool, || pool.clone(), free, shard);
     }
-    for demand in unclaimed.iter().chain(tasks) {
+    for demand in &unclaimed {
         planner.satisfy(demand, &pools);
     }
-    planner.requested
+    for (index, demand) in tasks {
+        if !planner.satisfy(demand, &pools) {
+            planner.plan.unmet.push(index);
+        }
+    }
+    planner.plan
 }
 
 /// Takes machines for a reservation out of the supply, those with the most free CPUs first. Returns their number.
@@ -221,18 +261,19 @@
 }
 
 impl Planner<'_> {
-    /// Places the tasks of one demand on the supply, and plans machines for the remaining tasks.
-    fn satisfy(&mut self, demand: &TaskDemand, pools: &[Pool]) {
+    /// Places the tasks of one demand on the supply, and plans machines for the remaining tasks. Returns whether the
+    /// machines in service and starting suffice.
+    fn satisfy(&mut self, demand: &TaskDemand, pools: &[Pool]) -> bool {
         let gang_zone = self.zone_for_gang(demand, pools);
         let in_gang_zone = |pool: &Pool| gang_zone.as_ref().is_none_or(|zone| *zone == pool.zone);
         let allowed = self
             .capacity_index
             .allowed(|pool| demand.allows(pool) && in_gang_zone(pool));
         let mut zones = demand.zones.clone();
-        let mut left = self.place_on_supply(demand, &allowed, &mut zones);
-        let cpus = |pool: &Pool| self.types.get(&pool.model).map_or(0.0, |t| t.cpus);
-        let sizes = self.capacity_index.class_sizes(&allowed);
-        let mut usable_cpus: f64 = sizes.map(|(pool, n)| n as f64 * cpus(pool)).sum();
+        let placed = self.place_on_supply(demand, &allowed, &mut zones);
+        let mut left = demand.tasks - placed.total;
+        let mut usable_cpus = self.usable_cpus(&allowed);
+        let patience_s = demand.patience_s - demand.unmet_s;
         let min_price = demand.min_task_price(self.types);
         let mut options = self.options(demand, left, pools);
         options.retain(|option| in_gang_zone(option.pool));
@@ -246,9 +287,10 @@
             let price = demand.task_price(machine_type, pool.spot);
             let is_expensive = price.is_none_or(|p| p > EXPENSIVE_FACTOR * min_price);
             if is_expensive {
-                // Requests expensive machines only if the work would wait too long for the usable ones.
+                // Requests expensive machines only if the work would wait too long for the usable ones, or has
+                // done so.
                 let work = self.backlog_cpu_s + demand.over_quota_cpu_s + demand.work_cpu_s(left);
-                if demand.patience_s > 0.0 && work <= usable_cpus * demand.patience_s {
+                if patience_s > 0.0 && work <= usable_cpus * patience_s {
                     break;
                 }
             }
@@ -260,27 +302,40 @@
                 .push(|other| other == *pool, || (*pool).clone(), free, None);
             zones.add_tasks(Some(pool.zone.clone()), tasks);
             left -= tasks;
-            *self.requested.entry((*pool).clone()).or_default() += 1;
+            *self.plan.requests.entry((*pool).clone()).or_default() += 1;
         }
         self.backlog_cpu_s += demand.over_quota_cpu_s + demand.work_cpu_s(left);
+        placed.on_rented == demand.tasks
+    }
+
+    /// Returns the CPUs of the machines of the allowed pools that are free or become free.
+    fn usable_cpus(&self, allowed: &AllowedClasses) -> f64 {
+        let usable = |(pool, machines): (&Pool, usize)| {
+            let cpus = self.types.get(&pool.model).map_or(0.0, |t| t.cpus);
+            let service_cpus = self.service_cpus.get(pool).copied().unwrap_or(0.0);
+            machines as f64 * cpus - service_cpus
+        };
+        self.capacity_index.class_sizes(allowed).map(usable).sum()
     }
 
-    /// Places tasks on the supply, and counts them in `zones`. Returns how many do not fit.
+    /// Places tasks on the supply, and counts them in `zones`.
     fn place_on_supply(
         &mut self,
         demand: &TaskDemand,
         allowed: &AllowedClasses,
         zones: &mut ZoneRule<String>,
-    ) -> u32 {
-        let mut left = demand.tasks;
-        if left == 0 {
-            return 0;
+    ) -> PlacedTasks {
+        let mut placed = PlacedTasks::default();
+        if demand.tasks == 0 {
+            return placed;
         }
         for index in self.capacity_index.fitting(demand.resources, allowed) {
             let entry = &self.capacity_index.entries()[index];
             if !demand.may_use_shard(entry.machine) {
                 continue;
             }
+            let is_rented = entry.machine.is_some();
+            let left = demand.tasks - placed.total;
             let mut tasks = demand.resources.count_in(entry.free).min(left);
             if zones.is_constrained() {
                 let zone = &self.capacity_index.class(entry).zone;
@@ -289,9 +344,10 @@
             }
             self.capacity_index
                 .allocate(index, demand.resources.times(f64::from(tasks)));
-            left -= tasks;
+            placed.total += tasks;
+            placed.on_rented += if is_rented { tasks } else { 0 };
         }
-        left
+        placed
     }
 
     /// Returns the zone for the tasks of a job that must share one and has none on a machine: one where all fit or
@@ -359,7 +415,7 @@
             // The last machine may be partly empty, so its price is divided by the tasks placed on it.
             let tasks = option.tasks_now(left, zones);
             let price = option.machine_type.price(option.pool.spot) / f64::from(tasks);
-            let requested = self.requested.get(option.pool).copied().unwrap_or(0);
+            let requested = self.plan.requests.get(option.pool).copied().unwrap_or(0);
             (price, requested, option)
         });
         let cheapest = priced.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
--- a/src/coordination/autoscaler/scale_out.rs
+++ b/src/coordination/autoscaler/scale_out.rs
@@ -1,14 +1,13 @@
 //! Scale-out: requests for machines, repeated under the same name until the cloud responds conclusively.
 
 use super::Autoscaler;
-use super::demand::demand;
+use super::demand::{UsedResources, demand};
 use super::planning::{MachineSupply, Pool, plan};
 use crate::coordination::cloud_client::CloudRequest;
 use crate::coordination::context::Context;
 use crate::effects::{Effects, Method};
 use snowshelf_model::ids::{MachineId, MonotonicMillis, ShardId, shard_of};
 use snowshelf_model::protocol::cloud::{ListedMachineState, ScaleOutResponse, scale_out_body};
-use snowshelf_model::records::Resources;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Maximum machines in one request.
@@ -173,21 +172,27 @@
     pub(super) fn scale_out(&mut self, context: &mut Context<'_>) {
         let now = context.now();
         let machines = self.supplied_machines(context);
-        let demand = demand(context, &machines);
+        let demand = demand(context, &machines, &self.unmet_demand);
         let supply = self.supply(machines, &demand.used, context);
         let excluded = self.scale_out.excluded_pools(now);
         let cpus = |request: &PlannedRequest| {
             let machine_type = context.machine_types.get(&request.pool.model);
             machine_type.map_or(0.0, |t| t.cpus) * f64::from(request.machines)
         };
-        let mut planned: Vec<PlannedRequest> =
-            plan(&demand.tasks, supply, context.machine_types, &excluded)
-                .into_iter()
-                .map(|(pool, machines)| PlannedRequest {
-                    pool,
-                    machines: machines.min(MAX_MACHINES_PER_REQUEST),
-                })
-                .collect();
+        let plan = plan(&demand.tasks, supply, context.machine_types, &excluded);
+        let unmet_jobs = plan
+            .unmet
+            .iter()
+            .filter_map(|index| demand.jobs.get(*index));
+        self.unmet_demand.update(unmet_jobs.cloned().collect(), now);
+        let mut planned: Vec<PlannedRequest> = plan
+            .requests
+            .into_iter()
+            .map(|(pool, machines)| PlannedRequest {
+                pool,
+                machines: machines.min(MAX_MACHINES_PER_REQUEST),
+            })
+            .collect();
         // The request with the most CPUs goes first, and requests that exceed the call rate are planned
         // again: small requests planned before most jobs are known would use up the few calls.
         planned.sort_by(|a, b| cpus(b).total_cmp(&cpus(a)));
@@ -240,15 +245,21 @@
     fn supply(
         &self,
         machines: BTreeMap<MachineId, Pool>,
-        used: &BTreeMap<MachineId, Resources>,
+        used: &BTreeMap<MachineId, UsedResources>,
         context: &Context<'_>,
     ) -> Vec<MachineSupply> {
         let mut supply = Vec::new();
-        let mut add = |pool: Pool, shard: Option<ShardId>, used: Resources| {
+        let mut add = |pool: Pool, shard: Option<ShardId>, used: UsedResources| {
             if let Some(machine_type) = context.machine_types.get(&pool.model) {
                 let mut free = machine_type.capacity();
-                free.sub(used);
-                supply.push(MachineSupply { pool, shard, free });
+                free.sub(used.total);
+                let service_cpus = used.service_cpus;
+                supply.push(MachineSupply {
+                    pool,
+                    shard,
+                    free,
+                    service_cpus,
+                });
             }
         };
         for (name, pool) in machines {
@@ -261,7 +272,7 @@
         }
         for request in self.scale_out.requests.values() {
             for _ in 0..request.machines {
-                add(request.pool.clone(), None, Resources::default());
+                add(request.pool.clone(), None, UsedResources::default());
             }
         }
         supply
--- a/tests/autoscaler_plan.rs
+++ b/tests/autoscaler_plan.rs
@@ -3,8 +3,9 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
-use snowshelf::coordination::autoscaler::{MachineSupply, Pool, TaskDemand, ZoneModel, plan};
+use snowshelf::coordination::autoscaler::{MachineSupply, Plan, Pool, TaskDemand, ZoneModel, plan};
 use snowshelf::coordination::placement::ZoneRule;
+use snowshelf_model::ids::ShardId;
 use snowshelf_model::protocol::cloud::MachineType;
 use snowshelf_model::records::Resources;
 use std::collections::{BTreeMap, BTreeSet};
@@ -57,12 +58,13 @@
         4 => Just(Vec::new()),
         1 => Just(vec![ZoneModel { zone: "b".to_string(), model: "s".to_string() }])
     ];
-    let size = (1..6u32, 1..20u32, 0..60u32, 0..3u32);
+    let size = (1..6u32, 1..20u32, 0..60u32, 0..3u32, 0..8u32);
     (size, of, zone, any::<bool>(), closed_pools).prop_map(
-        |((cpus, mem, tasks, late), types, zone, spot, closed_pools)| TaskDemand {
+        |((cpus, mem, tasks, late, waited), types, zone, spot, closed_pools)| TaskDemand {
             is_reservation: false,
             zones: ZoneRule::default(),
             shard: None,
+            unmet_s: f64::from(waited),
             resources: resources(cpus, mem),
             tasks,
             over_quota_cpu_s: 0.0,
@@ -86,7 +88,7 @@
     mut supply: Vec<MachineSupply>,
     types: &BTreeMap<String, MachineType>,
     refused: &BTreeSet<Pool>,
-) -> BTreeMap<Pool, u32> {
+) -> Plan {
     let allows = |demand: &TaskDemand, pool: &Pool| {
         demand
             .types
@@ -120,17 +122,23 @@
     }
     pools.retain(|p| !refused.contains(p));
     let mut rent: BTreeMap<Pool, u32> = BTreeMap::new();
-    let mut order: Vec<&TaskDemand> = demands.iter().collect();
-    order.sort_by_key(|w| (w.spot, w.types.is_none(), w.zone.is_none()));
+    let mut unmet = Vec::new();
+    let mut order: Vec<(usize, &TaskDemand)> = demands.iter().enumerate().collect();
+    order.sort_by_key(|(_, w)| (w.spot, w.types.is_none(), w.zone.is_none()));
     supply.sort_by_key(|h| !h.pool.spot);
     let mut backlog = 0.0;
-    for demand in order {
+    for (index, demand) in order {
         let (mut left, mut reach) = (demand.tasks, 0.0);
+        let mut on_rented = 0;
         for h in supply.iter_mut().filter(|h| allows(demand, &h.pool)) {
             let n = demand.resources.count_in(h.free).min(left);
             h.free.sub(demand.resources.times(f64::from(n)));
             left -= n;
-            reach += types[&h.pool.model].cpus;
+            on_rented += if h.shard.is_some() { n } else { 0 };
+            reach += types[&h.pool.model].cpus - h.service_cpus;
+        }
+        if on_rented < demand.tasks {
+            unmet.push(index);
         }
         let of = types
             .values()
@@ -158,7 +166,8 @@
                 + demand.over_quota_cpu_s
                 + f64::from(left) * demand.resources.cpus * demand.estimate_s;
             let dear = unit(demand, t, pool.spot).is_none_or(|u| u > 1.5 * cheapest);
-            if dear && demand.patience_s > 0.0 && work <= reach * demand.patience_s {
+            let patience = demand.patience_s - demand.unmet_s;
+            if dear && patience > 0.0 && work <= reach * patience {
                 break;
             }
             let n = demand.resources.count_in(t.capacity()).min(left);
@@ -171,12 +180,16 @@
                 pool,
                 shard: None,
                 free,
+                service_cpus: 0.0,
             });
         }
         backlog +=
             demand.over_quota_cpu_s + f64::from(left) * demand.resources.cpus * demand.estimate_s;
     }
-    rent
+    Plan {
+        requests: rent,
+        unmet,
+    }
 }
 
 proptest! {
@@ -192,15 +205,17 @@
     #[test]
     fn plan_matches_a_reference_that_scans_every_machine(
         demands in prop::collection::vec(task_demand(), 0..12),
-        machines in prop::collection::vec((pool(), 0..9u32), 0..30),
+        machines in prop::collection::vec((pool(), 0..9u32, 0..4u32, any::<bool>()), 0..30),
         refused in prop::collection::btree_set(pool(), 0..3),
     ) {
         let types = types();
         let supply = || {
-            let supply = machines.iter().map(|(pool, taken)| {
+            let supply = machines.iter().map(|(pool, taken, by_services, rented)| {
                 let mut free = types[&pool.model].capacity();
                 free.sub(resources(*taken, 2 * taken));
-                MachineSupply { pool: pool.clone(), shard: None, free }
+                let service_cpus = f64::from(*taken.min(by_services));
+                let shard = rented.then_some(ShardId(0));
+                MachineSupply { pool: pool.clone(), shard, free, service_cpus }
             });
             supply.collect::<Vec<MachineSupply>>()
         };
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -58,6 +58,7 @@
         over_quota_cpu_s: 0.0,
         estimate_s: 10.0,
         patience_s: 20.0,
+        unmet_s: 0.0,
     }
 }
 
@@ -85,39 +86,98 @@
         (0..4)
             .map(|_| MachineSupply {
                 pool: pool(true),
-                shard: None,
+                shard: Some(ShardId(0)),
                 free: machine_capacity(),
+                service_cpus: 0.0,
             })
             .collect::<Vec<_>>()
     };
+    let requests = |demand: &[TaskDemand], excluded: &BTreeSet<Pool>| {
+        plan(demand, supply(), &types, excluded).requests
+    };
     let refused_pools: BTreeSet<Pool> = [pool(true)].into();
     // 32 CPUs clear 16 tasks at once and 4 more within seconds, so no on-demand machine is rented.
-    assert!(plan(&[task_demand(20, true)], supply(), &types, &refused_pools).is_empty());
+    assert!(requests(&[task_demand(20, true)], &refused_pools).is_empty());
     // 600 tasks of ten seconds would wait for minutes.
-    assert!(
-        plan(&[task_demand(600, true)], supply(), &types, &refused_pools)
-            .contains_key(&pool(false))
-    );
+    assert!(requests(&[task_demand(600, true)], &refused_pools).contains_key(&pool(false)));
     // So would 20 tasks behind others that exceed the team's limit. When each team's demand was cut to its limit,
     // tasks of 80,000 CPUs waited and no on-demand machine was rented (inc-2443).
     let behind_quota = TaskDemand {
         over_quota_cpu_s: 6_000.0,
         ..task_demand(20, true)
     };
-    assert!(plan(&[behind_quota], supply(), &types, &refused_pools).contains_key(&pool(false)));
+    assert!(requests(&[behind_quota], &refused_pools).contains_key(&pool(false)));
+    // So do 20 tasks that have waited in vain for as long as they may.
+    let waited = TaskDemand {
+        unmet_s: 20.0,
+        ..task_demand(20, true)
+    };
+    assert!(requests(&[waited], &refused_pools).contains_key(&pool(false)));
     // While spot machines are available, they are rented at once and on-demand machines are not.
-    let rent = plan(
-        &[task_demand(600, true)],
-        supply(),
-        &types,
-        &BTreeSet::new(),
-    );
+    let rent = requests(&[task_demand(600, true)], &BTreeSet::new());
     assert!(rent.contains_key(&pool(true)) && !rent.contains_key(&pool(false)));
     // A job that may not use spot machines has no cheaper option.
-    let rent = plan(&[task_demand(8, false)], supply(), &types, &BTreeSet::new());
+    let rent = requests(&[task_demand(8, false)], &BTreeSet::new());
     assert_eq!(rent, [(pool(false), 2)].into());
 }
 
+/// Guards against tasks that wait for CPUs which replicas of services hold for good.
+#[test]
+fn plan_expects_no_cpus_from_services() {
+    let types: BTreeMap<_, _> = [machine_type("s", 8.0, 0.8, Some(0.2))].into();
+    let refused_pools: BTreeSet<Pool> = [pool(true)].into();
+    let requests = |service_cpus: f64| {
+        let full = MachineSupply {
+            pool: pool(true),
+            shard: Some(ShardId(0)),
+            free: Resources::default(),
+            service_cpus,
+        };
+        plan(&[task_demand(1, true)], vec![full], &types, &refused_pools).requests
+    };
+    assert!(requests(0.0).is_empty());
+    assert_eq!(requests(8.0), [(pool(false), 1)].into());
+}
+
+/// Guards against requests in a zone where the job's tasks may not run, and against counting machines of another shard
+/// for a job that cannot leave its own.
+#[test]
+fn plan_keeps_zone_constraints_and_shards() {
+    let mut types: BTreeMap<_, _> = [machine_type("s", 8.0, 0.8, None)].into();
+    types.get_mut("s").unwrap().zones = vec!["a".into(), "b".into()];
+    let in_zone = |zone: &str| Pool {
+        zone: zone.into(),
+        ..pool(false)
+    };
+    let empty_machine = |zone: &str| MachineSupply {
+        pool: in_zone(zone),
+        shard: Some(ShardId(0)),
+        free: machine_capacity(),
+        service_cpus: 0.0,
+    };
+    let requests = |demand: &TaskDemand, zone: &str| {
+        let supply = vec![empty_machine(zone)];
+        plan(
+            std::slice::from_ref(demand),
+            supply,
+            &types,
+            &BTreeSet::new(),
+        )
+        .requests
+    };
+    let mut spread = task_demand(4, false);
+    spread.zones.max_per_zone = Some(4);
+    spread.zones.add_tasks(Some("a".to_string()), 4);
+    assert_eq!(requests(&spread, "a"), [(in_zone("b"), 1)].into());
+    assert!(requests(&spread, "b").is_empty());
+    spread.shard = Some(ShardId(1));
+    assert_eq!(requests(&spread, "b"), [(in_zone("b"), 1)].into());
+    // All tasks share the zone where half of them fit.
+    let mut gang = task_demand(8, false);
+    gang.zones.gang = true;
+    assert_eq!(requests(&gang, "b"), [(in_zone("b"), 1)].into());
+}
+
 /// Guards against a burst in which only jobs that have already missed an objective are served, so that all other
 /// jobs miss it as well.
 #[test]
--- a/tests/standing_jobs.rs
+++ b/tests/standing_jobs.rs
@@ -249,3 +249,68 @@
         }
     }
 }
+
+/// Starts a service that fills three spot machines with two replicas each. Returns the index of its user.
+fn start_service_on_spot_machines(simulation: &mut Simulation) -> usize {
+    let spec = json!({"Tarefas": 6, "Cpus": 4.0, "Avulsas": true});
+    let service = add_service(simulation, 2_000, &spec);
+    run_until(simulation, START_MS, "all replicas", |s| {
+        machines_of(s, service).len() == 6
+    });
+    assert!(simulation.workers.values().all(|worker| worker.spot));
+    service
+}
+
+/// Guards against replicas that never start again after their spot machine was taken, because on-demand machines are
+/// rented only for more work than the other spot machines could do, and these are full of replicas that never end.
+#[test]
+fn replicas_of_a_taken_spot_machine_restart_on_demand() {
+    for seed in 1..=4 {
+        let mut simulation = quiet_simulation(seed);
+        let service = start_service_on_spot_machines(&mut simulation);
+        simulation.cloud.spot_pool_limit = 1;
+        let taken = machines_of(&simulation, service).remove(0);
+        stop_machine(&mut simulation, &taken);
+        run_until(&mut simulation, RECOVERY_MS, "all replicas again", |s| {
+            machines_of(s, service).len() == 6
+        });
+    }
+}
+
+/// Guards against a job that never starts because services fill all spot machines that the cloud has.
+#[test]
+fn job_starts_on_demand_when_services_fill_all_spot_machines() {
+    for seed in 1..=4 {
+        let mut simulation = quiet_simulation(seed);
+        simulation.cloud.spot_pool_limit = 2;
+        start_service_on_spot_machines(&mut simulation);
+        simulation.cloud.spot_pool_limit = 1;
+        let now = simulation.now;
+        simulation.add_user(now, json!({"Cpus": 4.0, "Avulsas": true}));
+        let user = simulation.users.len() - 1;
+        run_until(&mut simulation, RECOVERY_MS, "the job", |s| {
+            s.users[user].completion_reported
+        });
+    }
+}
+
+/// Guards against a job that waits as long as other tasks run much longer than their estimate on all spot machines.
+#[test]
+fn job_starts_on_demand_when_tasks_on_spot_machines_overrun_their_estimate() {
+    for seed in 1..=4 {
+        let mut simulation = quiet_simulation(seed);
+        simulation.cloud.spot_pool_limit = 1;
+        let overrunning = json!({"Tarefas": 4, "Cpus": 4.0, "Avulsas": true});
+        simulation.add_user(2_000, overrunning);
+        let job = simulation.users[0].job.clone();
+        simulation.endless_jobs.insert(job);
+        run_until(&mut simulation, START_MS, "the long tasks", |s| {
+            machines_of(s, 0).len() == 4
+        });
+        let now = simulation.now;
+        simulation.add_user(now, json!({"Cpus": 4.0, "Avulsas": true}));
+        run_until(&mut simulation, RECOVERY_MS, "the short job", |s| {
+            s.users[1].completion_reported
+        });
+    }
+}
