--- a/src/coordination/autoscaler/demand.rs
+++ b/src/coordination/autoscaler/demand.rs
@@ -1,6 +1,6 @@
 //! Computes the demand for machines from jobs, within their teams' quotas, and from reservations.
 
-use super::planning::{Pool, TaskDemand, ZoneModel};
+use super::plan_types::{Pool, TaskDemand, ZoneModel};
 use super::unmet_demand::UnmetDemand;
 use crate::coordination::context::Context;
 use crate::coordination::placement::{estimated_run_s, wait_limit_s};
--- a/src/coordination/autoscaler/mod.rs
+++ b/src/coordination/autoscaler/mod.rs
@@ -4,12 +4,14 @@
 mod demand;
 mod drain_view;
 mod machine_list;
+mod plan_types;
 mod planning;
 mod scale_in;
 mod scale_out;
 mod unmet_demand;
 
-pub use planning::{MachineSupply, Plan, Pool, TaskDemand, ZoneModel, plan};
+pub use plan_types::{MachineSupply, Plan, Pool, TaskDemand, ZoneModel};
+pub use planning::plan;
 
 use super::cloud_client::{CloudClient, CloudRequest};
 use super::context::Context;
--- a/src/coordination/autoscaler/scale_out.rs
+++ b/src/coordination/autoscaler/scale_out.rs
@@ -2,7 +2,8 @@
 
 use super::Autoscaler;
 use super::demand::{UsedResources, demand};
-use super::planning::{MachineSupply, Pool, plan};
+use super::plan_types::{MachineSupply, Pool};
+use super::planning::plan;
 use crate::coordination::cloud_client::CloudRequest;
 use crate::coordination::context::Context;
 use crate::effects::{Effects, Method};
