--- a/src/coordination/autoscaler/unmet_demand.rs
+++ b/src/coordination/autoscaler/unmet_demand.rs
@@ -20,9 +20,18 @@
 
     /// Replaces the jobs whose tasks exceed the machines.
     pub(super) fn update(&mut self, jobs: BTreeSet<JobId>, now: MonotonicMillis) {
-        self.since.retain(|job, _| jobs.contains(job));
+        self.since.retain(|job, since| {
+            let is_unmet = jobs.contains(job);
+            if !is_unmet {
+                tracing::info!(%job, waited_ms = now.since(*since), "tasks fit on the machines");
+            }
+            is_unmet
+        });
         for job in jobs {
-            self.since.entry(job).or_insert(now);
+            self.since.entry(job).or_insert_with_key(|job| {
+                tracing::info!(%job, "tasks exceed the machines");
+                now
+            });
         }
     }
 }
