On-demand machines for waiting batch tasks follow what holds the spot machines

Cause: the time for which tasks had exceeded the machines was deducted from the patience of every job.

Change: the time waited counts for services alone. For batch jobs, CPUs of tasks that have been on their machine for more than twice the expected time and 30 s count as held for good, like those of services. The tests of standing_jobs stay as they are; lasting_cpus is the name of what services and such tasks hold. Reading the demand and starting a plan are types of their own (TaskCounter, Planner::new), and a zone-constrained job wants no machine of unknown zone.

Result: standing_jobs, autoscaler_plan and decisions pass.

--- a/src/coordination/autoscaler/demand.rs
+++ b/src/coordination/autoscaler/demand.rs
@@ -1,5 +1,6 @@
 //! Computes the demand for machines from jobs, within their teams' quotas, and from reservations.
 
+use super::held_cpus::HeldCpus;
 use super::plan_types::{Pool, TaskDemand, ZoneModel};
 use super::unmet_demand::UnmetDemand;
 use crate::coordination::context::Context;
@@ -8,7 +9,7 @@
 use crate::coordination::zone_rule::ZoneRule;
 use snowshelf_calendar::constraints::PoolReservation;
 use snowshelf_model::ids::{JobId, MachineId, ShardId, Team, WallClockMillis, seconds_to_ms};
-use snowshelf_model::records::{JobKind, JobRecord, JobSpec, JobState, Resources};
+use snowshelf_model::records::{JobKind, JobSpec, JobState, Resources};
 use std::collections::BTreeMap;
 
 /// Memory quota of every team, in GB: larger than any demand, because memory has no quota.
@@ -38,8 +39,8 @@
 pub(super) struct UsedResources {
     /// Resources of all tasks.
     pub(super) total: Resources,
-    /// CPUs of replicas of services.
-    pub(super) service_cpus: f64,
+    /// CPUs that are not expected to become free.
+    pub(super) lasting_cpus: f64,
 }
 
 /// A ready job and its unfinished tasks.
@@ -74,11 +75,19 @@
     context: &Context<'_>,
     supplied: &BTreeMap<MachineId, Pool>,
     unmet: &UnmetDemand,
+    held_cpus: &mut HeldCpus,
 ) -> Demand {
     let mut demand = Demand::default();
     let mut job_demand = Vec::new();
     let mut quotas = team_quotas(context);
-    let jobs = ready_jobs(context, supplied, &mut demand.used);
+    let mut counter = TaskCounter {
+        context,
+        supplied,
+        held_cpus,
+        used: BTreeMap::new(),
+    };
+    let jobs = counter.ready_jobs();
+    demand.used = counter.used;
     for job in &jobs {
         if let Some(remaining) = quotas.get_mut(job.spec.team.as_str()) {
             remaining.sub(job.spec.resources.times(f64::from(job.tasks.started)));
@@ -111,7 +120,10 @@
         let mut of_job = demand_of(spec, &split, blocked_s, context);
         of_job.zones = tasks.zones;
         of_job.shard = tasks.shard;
-        of_job.unmet_s = unmet.waited_s(id, context.effects.now);
+        // Batch work waits for tasks that end; what services run does not end.
+        if spec.kind == JobKind::Service {
+            of_job.unmet_s = unmet.waited_s(id, context.effects.now);
+        }
         demand.tasks.push(of_job);
         demand.jobs.push(id.clone());
     }
@@ -119,33 +131,89 @@
     demand
 }
 
-/// Returns the jobs with unfinished tasks that wait for no other job. Adds to `used` what their tasks hold on
-/// machines of the supply.
-fn ready_jobs<'a>(
-    context: &'a Context<'_>,
-    supplied: &BTreeMap<MachineId, Pool>,
-    used: &mut BTreeMap<MachineId, UsedResources>,
-) -> Vec<ReadyJob<'a>> {
-    let mut ready = Vec::new();
-    for (id, record) in &context.records.jobs {
-        let (Some(spec), JobState::Open) = (&record.value.spec, record.value.state) else {
-            continue;
-        };
-        if !context.dependency_graph.is_ready(id, &record.value) {
-            continue;
+/// Counts the unfinished tasks of jobs, and what the started ones hold on machines of the supply.
+struct TaskCounter<'a, 'c> {
+    context: &'a Context<'c>,
+    /// The machines that count as supply.
+    supplied: &'a BTreeMap<MachineId, Pool>,
+    held_cpus: &'a mut HeldCpus,
+    used: BTreeMap<MachineId, UsedResources>,
+}
+
+impl<'a> TaskCounter<'a, '_> {
+    /// Returns the jobs with unfinished tasks that wait for no other job.
+    fn ready_jobs(&mut self) -> Vec<ReadyJob<'a>> {
+        let context = self.context;
+        self.held_cpus.begin_round();
+        let mut ready = Vec::new();
+        for (id, record) in &context.records.jobs {
+            let (Some(spec), JobState::Open) = (&record.value.spec, record.value.state) else {
+                continue;
+            };
+            if !context.dependency_graph.is_ready(id, &record.value) {
+                continue;
+            }
+            let tasks = self.unfinished_tasks(id, &record.value.shards, spec);
+            if tasks.total() > 0 {
+                let blocked_s = context.dependency_graph.blocked_s(id, &record.value);
+                ready.push(ReadyJob {
+                    id,
+                    spec,
+                    tasks,
+                    blocked_s,
+                });
+            }
         }
-        let tasks = unfinished_tasks(id, &record.value, spec, context, supplied, used);
-        if tasks.total() > 0 {
-            let blocked_s = context.dependency_graph.blocked_s(id, &record.value);
-            ready.push(ReadyJob {
-                id,
-                spec,
-                tasks,
-                blocked_s,
-            });
+        ready
+    }
+
+    /// Counts a job's unfinished tasks in its shards.
+    fn unfinished_tasks(
+        &mut self,
+        id: &JobId,
+        shards: &[ShardId],
+        spec: &JobSpec,
+    ) -> UnfinishedTasks {
+        let mut tasks = UnfinishedTasks {
+            started: 0,
+            to_place: 0,
+            zones: ZoneRule::of(spec),
+            shard: None,
+        };
+        let expected_ms = expected_stay_ms(spec, self.context);
+        for shard_id in shards {
+            let allocations = &self.context.records.allocations;
+            let Some(allocation) = allocations.get(&(*shard_id, id.clone())) else {
+                continue;
+            };
+            tasks.to_place += allocation.value.waiting.len();
+            for (machine, started) in &allocation.value.started {
+                let count = started.len();
+                if spec.is_zone_constrained() {
+                    tasks.shard = Some(*shard_id);
+                }
+                let Some(pool) = self.supplied.get(machine) else {
+                    tasks.to_place += count;
+                    continue;
+                };
+                tasks.started += count;
+                if tasks.zones.is_constrained() {
+                    tasks.zones.add_tasks(Some(pool.zone.clone()), count);
+                }
+                let held = spec.resources.times(f64::from(count));
+                let used = self.used.entry(machine.clone()).or_default();
+                used.total.add(held);
+                let now = self.context.effects.now;
+                if self
+                    .held_cpus
+                    .observe((machine, id), started, expected_ms, now)
+                {
+                    used.lasting_cpus += held.cpus;
+                }
+            }
         }
+        tasks
     }
-    ready
 }
 
 /// Returns the quota of each team, by team name.
@@ -162,50 +230,6 @@
     quotas.collect()
 }
 
-/// Counts a job's unfinished tasks, and adds to `used` what the started ones hold on machines of the supply.
-fn unfinished_tasks(
-    id: &JobId,
-    record: &JobRecord,
-    spec: &JobSpec,
-    context: &Context<'_>,
-    supplied: &BTreeMap<MachineId, Pool>,
-    used: &mut BTreeMap<MachineId, UsedResources>,
-) -> UnfinishedTasks {
-    let mut tasks = UnfinishedTasks {
-        started: 0,
-        to_place: 0,
-        zones: ZoneRule::of(spec),
-        shard: None,
-    };
-    for shard_id in &record.shards {
-        let Some(allocation) = context.records.allocations.get(&(*shard_id, id.clone())) else {
-            continue;
-        };
-        tasks.to_place += allocation.value.waiting.len();
-        for (machine, started) in &allocation.value.started {
-            let count = started.len();
-            if spec.is_zone_constrained() {
-                tasks.shard = Some(*shard_id);
-            }
-            let Some(pool) = supplied.get(machine) else {
-                tasks.to_place += count;
-                continue;
-            };
-            tasks.started += count;
-            if tasks.zones.is_constrained() {
-                tasks.zones.add_tasks(Some(pool.zone.clone()), count);
-            }
-            let held = spec.resources.times(f64::from(count));
-            let on_machine = used.entry(machine.clone()).or_default();
-            on_machine.total.add(held);
-            if spec.kind == JobKind::Service {
-                on_machine.service_cpus += held.cpus;
-            }
-        }
-    }
-    tasks
-}
-
 /// A job's unfinished tasks, split by whether they have started and whether they fit into its team's quota.
 struct QuotaSplit {
     started: u32,
--- a/src/coordination/autoscaler/mod.rs
+++ b/src/coordination/autoscaler/mod.rs
@@ -3,6 +3,7 @@
 
 mod demand;
 mod drain_view;
+mod held_cpus;
 mod machine_list;
 mod plan_types;
 mod planning;
@@ -16,6 +17,7 @@
 use super::cloud_client::{CloudClient, CloudRequest};
 use super::context::Context;
 use crate::effects::{CallOutcome, Method};
+use held_cpus::HeldCpus;
 use machine_list::MachineList;
 use scale_out::ScaleOut;
 use snowshelf_model::ids::{CallId, FencingToken, MachineId, MonotonicMillis};
@@ -42,6 +44,7 @@
     list: MachineList,
     scale_out: ScaleOut,
     unmet_demand: UnmetDemand,
+    held_cpus: HeldCpus,
     planned_at: MonotonicMillis,
     /// When each machine last sent a heartbeat to any shard leader.
     heartbeats: BTreeMap<String, MonotonicMillis>,
@@ -62,6 +65,7 @@
             list: MachineList::default(),
             scale_out: ScaleOut::default(),
             unmet_demand: UnmetDemand::default(),
+            held_cpus: HeldCpus::default(),
             planned_at: MonotonicMillis(0),
             heartbeats: BTreeMap::new(),
             heartbeats_at: MonotonicMillis(0),
--- a/src/coordination/autoscaler/plan_types.rs
+++ b/src/coordination/autoscaler/plan_types.rs
@@ -109,8 +109,8 @@
     pub shard: Option<ShardId>,
     /// Resources of the machine that no started task holds.
     pub free: Resources,
-    /// CPUs that replicas of services hold, which do not become free.
-    pub service_cpus: f64,
+    /// CPUs that are not expected to become free: those of services, and of tasks that have overrun their estimate.
+    pub lasting_cpus: f64,
 }
 
 /// The machines to request.
--- a/src/coordination/autoscaler/planning.rs
+++ b/src/coordination/autoscaler/planning.rs
@@ -40,8 +40,8 @@
 struct Planner<'a> {
     types: &'a BTreeMap<String, MachineType>,
     capacity_index: CapacityIndex<Pool, Option<ShardId>>,
-    /// CPUs that services hold, by pool.
-    service_cpus: BTreeMap<Pool, f64>,
+    /// CPUs that are not expected to become free, by pool.
+    lasting_cpus: BTreeMap<Pool, f64>,
     plan: Plan,
     /// Work of tasks that must wait for a free machine, in CPU seconds.
     backlog_cpu_s: f64,
@@ -74,26 +74,7 @@
     }
     // Demand with the most constraints is placed first.
     tasks.sort_by_key(|(_, d)| (d.spot, d.types.is_none(), d.zone.is_none()));
-    let mut planner = Planner {
-        types,
-        capacity_index: CapacityIndex::default(),
-        service_cpus: BTreeMap::new(),
-        plan: Plan::default(),
-        backlog_cpu_s: 0.0,
-    };
-    for machine in supply {
-        let MachineSupply {
-            pool,
-            shard,
-            free,
-            service_cpus,
-        } = machine;
-        if service_cpus > 0.0 {
-            *planner.service_cpus.entry(pool.clone()).or_default() += service_cpus;
-        }
-        let index = &mut planner.capacity_index;
-        index.push(|other| *other == pool, || pool.clone(), free, shard);
-    }
+    let mut planner = Planner::new(supply, types);
     for demand in &unclaimed {
         planner.satisfy(demand, &pools);
     }
@@ -144,7 +125,28 @@
     pools
 }
 
-impl Planner<'_> {
+impl<'t> Planner<'t> {
+    /// Starts a plan with the supply alone.
+    fn new(supply: Vec<MachineSupply>, types: &'t BTreeMap<String, MachineType>) -> Planner<'t> {
+        let mut capacity_index = CapacityIndex::default();
+        let mut lasting_cpus: BTreeMap<Pool, f64> = BTreeMap::new();
+        for machine in supply {
+            let pool = machine.pool;
+            if machine.lasting_cpus > 0.0 {
+                *lasting_cpus.entry(pool.clone()).or_default() += machine.lasting_cpus;
+            }
+            let is_same = |other: &Pool| *other == pool;
+            capacity_index.push(is_same, || pool.clone(), machine.free, machine.shard);
+        }
+        Planner {
+            types,
+            capacity_index,
+            lasting_cpus,
+            plan: Plan::default(),
+            backlog_cpu_s: 0.0,
+        }
+    }
+
     /// Places the tasks of one demand on the supply, and plans machines for the remaining tasks. Returns whether the
     /// machines in service and starting suffice.
     fn satisfy(&mut self, demand: &TaskDemand, pools: &[Pool]) -> bool {
@@ -196,8 +198,8 @@
     fn usable_cpus(&self, allowed: &AllowedClasses) -> f64 {
         let usable = |(pool, machines): (&Pool, usize)| {
             let cpus = self.types.get(&pool.model).map_or(0.0, |t| t.cpus);
-            let service_cpus = self.service_cpus.get(pool).copied().unwrap_or(0.0);
-            machines as f64 * cpus - service_cpus
+            let lasting_cpus = self.lasting_cpus.get(pool).copied().unwrap_or(0.0);
+            machines as f64 * cpus - lasting_cpus
         };
         self.capacity_index.class_sizes(allowed).map(usable).sum()
     }
--- a/src/coordination/autoscaler/scale_out.rs
+++ b/src/coordination/autoscaler/scale_out.rs
@@ -173,7 +173,7 @@
     pub(super) fn scale_out(&mut self, context: &mut Context<'_>) {
         let now = context.now();
         let machines = self.supplied_machines(context);
-        let demand = demand(context, &machines, &self.unmet_demand);
+        let demand = demand(context, &machines, &self.unmet_demand, &mut self.held_cpus);
         let supply = self.supply(machines, &demand.used, context);
         let excluded = self.scale_out.excluded_pools(now);
         let cpus = |request: &PlannedRequest| {
@@ -254,12 +254,12 @@
             if let Some(machine_type) = context.machine_types.get(&pool.model) {
                 let mut free = machine_type.capacity();
                 free.sub(used.total);
-                let service_cpus = used.service_cpus;
+                let lasting_cpus = used.lasting_cpus;
                 supply.push(MachineSupply {
                     pool,
                     shard,
                     free,
-                    service_cpus,
+                    lasting_cpus,
                 });
             }
         };
--- a/src/coordination/shard/demand.rs
+++ b/src/coordination/shard/demand.rs
@@ -5,6 +5,7 @@
 use super::capacity::{CapacityIndex, MachineClass, MachineKind};
 use super::job::ShardJob;
 use crate::coordination::context::Context;
+use crate::coordination::placement::UNKNOWN_ZONE;
 use crate::coordination::zone_rule::ZoneRule;
 use snowshelf_model::ids::{JobId, WallClockMillis};
 use snowshelf_model::records::{JobSpec, Resources};
@@ -83,7 +84,9 @@
         let could_run = |spec: &JobSpec, zones: Option<&ZoneRule>, c: &ClassCapacity<'_>| {
             spec.resources.fits_in(c.total)
                 && self.is_eligible(spec, c.class, context)
-                && zones.is_none_or(|zones| zones.remaining(&c.class.zone) > 0)
+                && zones.is_none_or(|zones| {
+                    c.class.zone != UNKNOWN_ZONE && zones.remaining(&c.class.zone) > 0
+                })
         };
         let mut unwanted: Vec<&ClassCapacity<'_>> = classes.iter().collect();
         let mut wanted = BTreeSet::new();
--- a/tests/autoscaler_plan.rs
+++ b/tests/autoscaler_plan.rs
@@ -135,7 +135,7 @@
             h.free.sub(demand.resources.times(f64::from(n)));
             left -= n;
             on_rented += if h.shard.is_some() { n } else { 0 };
-            reach += types[&h.pool.model].cpus - h.service_cpus;
+            reach += types[&h.pool.model].cpus - h.lasting_cpus;
         }
         if on_rented < demand.tasks {
             unmet.push(index);
@@ -180,7 +180,7 @@
                 pool,
                 shard: None,
                 free,
-                service_cpus: 0.0,
+                lasting_cpus: 0.0,
             });
         }
         backlog +=
@@ -213,9 +213,9 @@
             let supply = machines.iter().map(|(pool, taken, by_services, rented)| {
                 let mut free = types[&pool.model].capacity();
                 free.sub(resources(*taken, 2 * taken));
-                let service_cpus = f64::from(*taken.min(by_services));
+                let lasting_cpus = f64::from(*taken.min(by_services));
                 let shard = rented.then_some(ShardId(0));
-                MachineSupply { pool: pool.clone(), shard, free, service_cpus }
+                MachineSupply { pool: pool.clone(), shard, free, lasting_cpus }
             });
             supply.collect::<Vec<MachineSupply>>()
         };
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -88,7 +88,7 @@
                 pool: pool(true),
                 shard: Some(ShardId(0)),
                 free: machine_capacity(),
-                service_cpus: 0.0,
+                lasting_cpus: 0.0,
             })
             .collect::<Vec<_>>()
     };
@@ -126,12 +126,12 @@
 fn plan_expects_no_cpus_from_services() {
     let types: BTreeMap<_, _> = [machine_type("s", 8.0, 0.8, Some(0.2))].into();
     let refused_pools: BTreeSet<Pool> = [pool(true)].into();
-    let requests = |service_cpus: f64| {
+    let requests = |lasting_cpus: f64| {
         let full = MachineSupply {
             pool: pool(true),
             shard: Some(ShardId(0)),
             free: Resources::default(),
-            service_cpus,
+            lasting_cpus,
         };
         plan(&[task_demand(1, true)], vec![full], &types, &refused_pools).requests
     };
@@ -153,7 +153,7 @@
         pool: in_zone(zone),
         shard: Some(ShardId(0)),
         free: machine_capacity(),
-        service_cpus: 0.0,
+        lasting_cpus: 0.0,
     };
     let requests = |demand: &TaskDemand, zone: &str| {
         let supply = vec![empty_machine(zone)];
