--- a/tests/standing_jobs.rs
+++ b/tests/standing_jobs.rs
@@ -269,7 +269,11 @@
         let mut simulation = quiet_simulation(seed);
         let service = start_service_on_spot_machines(&mut simulation);
         simulation.cloud.spot_pool_limit = 1;
-        let taken = machines_of(&simulation, service).remove(0);
+        // The other zone, too, has as many spot machines as it may have.
+        let zones = zones_of(&simulation, service);
+        let in_zone = |zone: &String| zones.iter().filter(|other| *other == zone).count();
+        let largest = zones.iter().position(|zone| in_zone(zone) == 4);
+        let taken = machines_of(&simulation, service).remove(largest.expect("two machines"));
         stop_machine(&mut simulation, &taken);
         run_until(&mut simulation, RECOVERY_MS, "all replicas again", |s| {
             machines_of(s, service).len() == 6
